--- /dev/null
+++ b/savoryreach/config/sources.cmake
@@ -0,0 +1,1 @@
+target_sources(savoryreach PRIVATE)
--- /dev/null
+++ b/savoryreach/keeper/keeper_core.hpp
@@ -0,0 +1,79 @@
+#ifndef SAVORYREACH_KEEPER_KEEPER_CORE_HPP
+#define SAVORYREACH_KEEPER_KEEPER_CORE_HPP
+
+#include "savoryreach/base/clock.hpp"
+#include "savoryreach/base/node_name.hpp"
+#include "savoryreach/base/random_source.hpp"
+#include "savoryreach/keeper/log_storage.hpp"
+#include "savoryreach/net/transport.hpp"
+#include "savoryreach/observe/event_sink.hpp"
+#include "schema/generated/settings.pb.h"
+#include "schema/generated/wire.pb.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace savoryreach::keeper
+{
+
+/// The interfaces that a keeper core acts through; all outlive the core.
+struct keeper_ports
+{
+    const base::clock& clock;
+    base::random_source& random;
+    net::transport& transport;
+    log_storage& storage;
+    observe::event_sink& events;
+};
+
+/// Counters and gauges of a keeper for /metrics and savoryctl.
+struct keeper_status
+{
+    std::string role; ///< "leader", "follower", "candidate", "learner" or "failed"
+    std::string leader;
+    std::uint64_t term = 0;
+    std::uint64_t last_index = 0;
+    std::uint64_t commit_index = 0;
+    std::uint64_t applied_index = 0;
+    std::uint64_t config_revision = 0;
+    std::size_t claims = 0;
+    std::size_t entries = 0;
+    std::size_t agents = 0;
+};
+
+/// All decisions of a keeper process: the replicated log, the ledger that it drives, entry leases,
+/// agent registrations and the spread of views. No I/O; runs on one thread.
+class keeper_core
+{
+public:
+    keeper_core(const schema::keeper_settings& settings, stored_state stored, keeper_ports ports);
+    ~keeper_core();
+    keeper_core(const keeper_core&) = delete;
+    keeper_core& operator=(const keeper_core&) = delete;
+
+    void receive(const base::node_name& from, const schema::envelope& message);
+    /// Called every few milliseconds and after each batch of messages.
+    void tick();
+    /// All storage writes up to and including \p ticket are durable.
+    void persisted(std::uint64_t ticket);
+    /// A storage write failed: the keeper stops voting and acknowledging for good.
+    void storage_failed(const std::string& why);
+
+    /// Hands leadership over and stops taking requests.
+    void begin_drain();
+    [[nodiscard]] bool is_drained() const;
+    /// True when this keeper is a leader with a valid lease or a follower that hears from one.
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] keeper_status status() const;
+    /// Hash of the replicated state, equal on all keepers that have applied the same index.
+    [[nodiscard]] std::uint64_t state_hash() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_; ///< replicated log, ledger and leases
+};
+
+} // namespace savoryreach::keeper
+
+#endif
--- /dev/null
+++ b/savoryreach/keeper/log_storage.hpp
@@ -0,0 +1,45 @@
+#ifndef SAVORYREACH_KEEPER_LOG_STORAGE_HPP
+#define SAVORYREACH_KEEPER_LOG_STORAGE_HPP
+
+#include "schema/generated/ledger.pb.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savoryreach::keeper
+{
+
+/// What a storage holds when a keeper starts.
+struct stored_state
+{
+    schema::hard_state hard_state;
+    std::optional<schema::ledger_snapshot> snapshot;
+    std::vector<schema::log_entry> entries; ///< consecutive, after the snapshot
+};
+
+/// Durable state of one keeper. Writes are queued in order and become durable together (group
+/// commit); the owner learns through keeper_core::persisted(ticket). Called from the control thread
+/// only and never blocks. After a failed write nothing more becomes durable.
+class log_storage
+{
+public:
+    virtual ~log_storage() = default;
+
+    /// Queues \p entries behind the last one. Returns the ticket of this write.
+    virtual std::uint64_t append(std::vector<schema::log_entry> entries) = 0;
+
+    /// Queues the removal of all entries from \p index on.
+    virtual std::uint64_t truncate_from(std::uint64_t index) = 0;
+
+    /// Queues term and vote.
+    virtual std::uint64_t save_hard_state(const schema::hard_state& state) = 0;
+
+    /// Queues a snapshot and drops the entries that it covers. Entries behind it stay.
+    virtual std::uint64_t save_snapshot(const schema::ledger_snapshot& snapshot) = 0;
+};
+
+} // namespace savoryreach::keeper
+
+#endif
--- /dev/null
+++ b/savoryreach/net/session.hpp
@@ -0,0 +1,58 @@
+#ifndef SAVORYREACH_NET_SESSION_HPP
+#define SAVORYREACH_NET_SESSION_HPP
+
+#include "schema/generated/wire.pb.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace savoryreach::net
+{
+
+/// One end of the reliable in-order stream between an entry epoch and an agent incarnation. It
+/// survives the loss of connections: items stay queued until the other end acknowledges them, are
+/// sent again after a deadline, and duplicates are dropped. The owner sends the frames that poll()
+/// returns over an unreliable transport. Not thread-safe.
+class session
+{
+public:
+    session(std::uint64_t epoch, std::uint64_t incarnation);
+
+    /// Queues one item for the other end.
+    void push(schema::session_item item);
+
+    /// Takes a frame from the other end and returns the items that are now deliverable in order.
+    /// A frame of another epoch or incarnation is ignored.
+    [[nodiscard]] std::vector<schema::session_item> receive(const schema::session_frame& frame,
+                                                            absl::Time now);
+
+    /// The frame to send now, with all unsent items (at most max_items_per_frame), a resend whose
+    /// deadline has passed, or an owed acknowledgement; nullopt when there is nothing to send.
+    /// Call it until it returns nullopt.
+    [[nodiscard]] std::optional<schema::session_frame> poll(absl::Time now);
+
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+    [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
+    [[nodiscard]] std::size_t unacknowledged() const { return queue_.size(); }
+
+    static constexpr std::size_t max_items_per_frame = 512;
+
+private:
+    std::uint64_t epoch_;                           ///< of the entry
+    std::uint64_t incarnation_;                     ///< of the agent
+    std::deque<schema::session_item> queue_;        ///< not acknowledged by the other end
+    std::uint64_t queue_begin_ = 1;                 ///< sequence number of queue_.front()
+    std::uint64_t next_unsent_ = 1;                 ///< first sequence number that was never sent
+    std::uint64_t next_expected_ = 1;               ///< next sequence number to deliver
+    absl::Time resend_at_ = absl::InfiniteFuture(); ///< deadline of the oldest unacknowledged item
+    absl::Time acknowledge_at_ = absl::InfiniteFuture(); ///< deadline of an owed acknowledgement
+    std::uint32_t resends_ = 0;                          ///< consecutive resends, for the backoff
+};
+
+} // namespace savoryreach::net
+
+#endif
--- /dev/null
+++ b/tests/net/sources.cmake
@@ -0,0 +1,1 @@
+# Tests of this folder.
--- /dev/null
+++ b/tests/simulation/sources.cmake
@@ -0,0 +1,3 @@
+add_library(savoryreach_simulation STATIC
+  simulation/fake_network.cpp)
+target_link_libraries(savoryreach_simulation PUBLIC savoryreach)
