--- /dev/null
+++ b/savoryreach/daemon/http_server.hpp
@@ -0,0 +1,61 @@
+#ifndef SAVORYREACH_DAEMON_HTTP_SERVER_HPP
+#define SAVORYREACH_DAEMON_HTTP_SERVER_HPP
+
+#include "savoryreach/base/error.hpp"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace savoryreach::daemon
+{
+
+/// Bounds of an HTTP server.
+struct http_limits
+{
+    std::size_t max_connections = 64;
+    std::size_t max_body_bytes = 1024UL * 1024;
+};
+
+/// What the standard pages of a daemon tell.
+struct health_pages
+{
+    std::function<bool()> is_ready;       ///< for /readyz
+    std::function<std::string()> metrics; ///< for /metrics
+};
+
+/// The HTTP server of a daemon with /healthz, /readyz and /metrics; handlers are added by the owner
+/// before start(). It counts requests in progress so that a shutdown can wait for them.
+class http_server
+{
+public:
+    explicit http_server(http_limits limits);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    httplib::Server& routes() { return server_; }
+    void add_health_pages(health_pages pages);
+
+    /// Listens on "ip:port"; the reason when that fails.
+    [[nodiscard]] std::optional<base::reason> start(const std::string& address);
+    /// Waits until no request is in progress, then closes. Connections that are idle are closed.
+    void stop();
+
+    [[nodiscard]] int requests_in_progress() const { return in_progress_; }
+
+private:
+    httplib::Server server_;
+    health_pages pages_;
+    std::atomic<int> in_progress_{0}; ///< requests whose answer is not written yet
+    std::thread thread_;
+};
+
+} // namespace savoryreach::daemon
+
+#endif
--- /dev/null
+++ b/savoryreach/daemon/logger.cpp
@@ -0,0 +1,78 @@
+#include "savoryreach/daemon/logger.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace savoryreach::daemon
+{
+namespace
+{
+
+std::string process_name;
+
+/// Quotes a value that would break the key=value form of the line.
+std::string quoted(const std::string& value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\\") == std::string::npos)
+    {
+        return value;
+    }
+    return absl::StrCat(
+        "\"", absl::StrReplaceAll(value, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}}), "\"");
+}
+
+} // namespace
+
+void open_log(const std::string& file, const std::string& process)
+{
+    static const log4cplus::Initializer initializer;
+    process_name = process;
+    log4cplus::SharedAppenderPtr appender;
+    if (file.empty())
+    {
+        appender = new log4cplus::ConsoleAppender(true, true);
+    }
+    else
+    {
+        appender = new log4cplus::FileAppender(file, std::ios_base::app);
+    }
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void log(log_level level, std::string_view event,
+         std::initializer_list<observe::event_field> fields)
+{
+    auto line = absl::StrCat("process=", process_name, " event=", std::string(event));
+    for (const auto& [key, value] : fields)
+    {
+        absl::StrAppend(&line, " ", std::string(key), "=", quoted(value));
+    }
+    const auto root = log4cplus::Logger::getRoot();
+    switch (level)
+    {
+    case log_level::info:
+        LOG4CPLUS_INFO(root, line);
+        break;
+    case log_level::warning:
+        LOG4CPLUS_WARN(root, line);
+        break;
+    case log_level::error:
+        LOG4CPLUS_ERROR(root, line);
+        break;
+    }
+}
+
+} // namespace savoryreach::daemon
--- /dev/null
+++ b/savoryreach/daemon/logger.hpp
@@ -0,0 +1,29 @@
+#ifndef SAVORYREACH_DAEMON_LOGGER_HPP
+#define SAVORYREACH_DAEMON_LOGGER_HPP
+
+#include "savoryreach/observe/event_sink.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace savoryreach::daemon
+{
+
+enum class log_level
+{
+    info,
+    warning,
+    error,
+};
+
+/// Opens the log of this process: \p file, or standard error when it is empty.
+void open_log(const std::string& file, const std::string& process);
+
+/// Writes one line of key=value pairs; thread-safe.
+void log(log_level level, std::string_view event,
+         std::initializer_list<observe::event_field> fields);
+
+} // namespace savoryreach::daemon
+
+#endif
--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -1,1 +1,10 @@
-target_sources(savoryreach PRIVATE)
+target_sources(savoryreach PRIVATE
+  daemon/answer_waiters.cpp
+  daemon/caller_api.cpp
+  daemon/control_loop.cpp
+  daemon/http_endpoint.cpp
+  daemon/http_server.cpp
+  daemon/logger.cpp
+  daemon/shutdown_signal.cpp
+  daemon/submission_json.cpp
+  daemon/thread_per_connection.cpp)
--- /dev/null
+++ b/savoryreach/daemon/submission_json.hpp
@@ -0,0 +1,43 @@
+#ifndef SAVORYREACH_DAEMON_SUBMISSION_JSON_HPP
+#define SAVORYREACH_DAEMON_SUBMISSION_JSON_HPP
+
+#include "savoryreach/base/error.hpp"
+#include "schema/generated/job.pb.h"
+
+#include <optional>
+#include <string>
+
+namespace savoryreach::daemon
+{
+
+/// Bounds of a submission; docs/callers.md states them for callers.
+inline constexpr int max_tasks = 970;
+inline constexpr std::size_t max_id_bytes = 128;
+inline constexpr std::uint32_t max_time_budget_ms = 600'000;
+inline constexpr std::uint32_t max_urgency = 9;
+inline constexpr std::uint32_t newest_schema_version = 2;
+
+/// Reads the JSON body of POST /v1/jobs and checks all of it before anything is accepted.
+class submission_reader
+{
+public:
+    /// The submission; nullopt when the body is not acceptable, see last_reason().
+    [[nodiscard]] std::optional<schema::submission> read(const std::string& body);
+
+    /// Why the last read failed; the text names the field.
+    [[nodiscard]] const base::reason& last_reason() const { return last_reason_; }
+
+private:
+    base::reason last_reason_; ///< of the last read that failed
+};
+
+/// The JSON body of an answer; see docs/callers.md.
+[[nodiscard]] std::string answer_to_json(const schema::job_answer& answer);
+
+/// The JSON body of a refusal that is known before any job exists.
+[[nodiscard]] schema::job_answer refused_answer(const std::string& submission_id,
+                                                const base::reason& why);
+
+} // namespace savoryreach::daemon
+
+#endif
--- /dev/null
+++ b/savoryreach/daemon/thread_per_connection.hpp
@@ -0,0 +1,41 @@
+#ifndef SAVORYREACH_DAEMON_THREAD_PER_CONNECTION_HPP
+#define SAVORYREACH_DAEMON_THREAD_PER_CONNECTION_HPP
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace savoryreach::daemon
+{
+
+/// Threads for cpp-httplib's server, which holds a thread for as long as a connection is open.
+/// Starts threads as connections come, up to a bound; further connections wait.
+class thread_per_connection final : public httplib::TaskQueue
+{
+public:
+    explicit thread_per_connection(std::size_t max_threads) : max_threads_(max_threads) {}
+
+    void enqueue(std::function<void()> work) override;
+    void shutdown() override;
+
+private:
+    void serve();
+
+    std::size_t max_threads_; ///< bound on open connections that are served
+    std::mutex mutex_;        ///< guards all below
+    std::condition_variable wake_;
+    std::deque<std::function<void()>> queue_; ///< connections that no thread serves yet
+    std::vector<std::thread> threads_;
+    std::size_t idle_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace savoryreach::daemon
+
+#endif
--- a/savoryreach/net/sources.cmake
+++ b/savoryreach/net/sources.cmake
@@ -1,1 +1,4 @@
-target_sources(savoryreach PRIVATE)
+target_sources(savoryreach PRIVATE
+  net/frame.cpp
+  net/tcp_connection.cpp
+  net/tcp_transport.cpp)
--- /dev/null
+++ b/savoryreach/net/tcp_transport.cpp
@@ -0,0 +1,266 @@
+#include "savoryreach/net/tcp_transport.hpp"
+
+#include "savoryreach/base/system_clock.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+
+namespace savoryreach::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto liveness_check_interval = std::chrono::milliseconds(100);
+constexpr auto dial_backoff = absl::Milliseconds(100);
+constexpr std::uint32_t protocol_version = 1;
+
+} // namespace
+
+std::optional<tcp::endpoint> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(text.substr(0, colon), ec);
+    std::uint32_t port = 0;
+    if (ec || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > 65535)
+    {
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+tcp_transport::tcp_transport(tcp_transport_options options, message_handler on_messages,
+                             notice_handler on_notice)
+    : options_(std::move(options)), on_messages_(std::move(on_messages)),
+      on_notice_(std::move(on_notice)), acceptor_(io_), liveness_timer_(io_)
+{
+    options_.hello.set_protocol_version(protocol_version);
+}
+
+tcp_transport::~tcp_transport()
+{
+    stop();
+}
+
+std::optional<base::reason> tcp_transport::start()
+{
+    if (!options_.listen.empty())
+    {
+        const auto endpoint = parse_address(options_.listen);
+        if (!endpoint)
+        {
+            return base::reason{base::error_kind::out_of_range,
+                                absl::StrCat("not an ip:port: ", options_.listen)};
+        }
+        boost::system::error_code ec;
+        acceptor_.open(endpoint->protocol(), ec);
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+        acceptor_.bind(*endpoint, ec);
+        if (!ec)
+        {
+            acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+        }
+        if (ec)
+        {
+            return base::reason{
+                base::error_kind::unreachable,
+                absl::StrCat("cannot listen on ", options_.listen, ": ", ec.message())};
+        }
+        accept_next();
+    }
+    schedule_liveness_check();
+    thread_ = std::thread([this] { io_.run(); });
+    return std::nullopt;
+}
+
+void tcp_transport::stop()
+{
+    if (!thread_.joinable())
+    {
+        return;
+    }
+    asio::post(
+        io_,
+        [this]
+        {
+            send_outbox();
+            boost::system::error_code ec;
+            acceptor_.close(ec);
+            liveness_timer_.cancel();
+            // A short grace lets the last frames reach the sockets.
+            auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(50));
+            timer->async_wait([this, timer](const boost::system::error_code&) { io_.stop(); });
+        });
+    thread_.join();
+}
+
+void tcp_transport::send(const base::node_name& to, schema::envelope message)
+{
+    bool wake = false;
+    {
+        const std::lock_guard lock(outbox_mutex_);
+        wake = outbox_.empty();
+        outbox_.emplace_back(to, std::move(message));
+    }
+    if (wake)
+    {
+        asio::post(io_, [this] { send_outbox(); });
+    }
+}
+
+void tcp_transport::learn_address(const base::node_name& peer, const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (endpoint)
+    {
+        asio::post(io_, [this, peer, endpoint] { peers_[peer].address = endpoint; });
+    }
+}
+
+tcp_transport_counts tcp_transport::counts() const
+{
+    return {sent_, received_, dropped_, refused_, connections_closed_};
+}
+
+void tcp_transport::accept_next()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& ec, tcp::socket socket)
+        {
+            if (ec == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!ec)
+            {
+                auto connection = std::make_shared<tcp_connection>(
+                    std::move(socket), static_cast<tcp_connection_listener&>(*this),
+                    options_.hello);
+                connections_.push_back(connection);
+                connection->start_accepted();
+            }
+            accept_next();
+        });
+}
+
+void tcp_transport::schedule_liveness_check()
+{
+    liveness_timer_.expires_after(liveness_check_interval);
+    liveness_timer_.async_wait(
+        [this](const boost::system::error_code& ec)
+        {
+            if (ec)
+            {
+                return;
+            }
+            const auto now = base::steady_now();
+            // Indexed, because check_liveness can close connections and call back.
+            for (std::size_t n = 0; n < connections_.size(); ++n)
+            {
+                const auto connection = connections_[n];
+                connection->check_liveness(now);
+            }
+            std::erase_if(connections_, [](const auto& it) { return !it->is_open(); });
+            schedule_liveness_check();
+        });
+}
+
+void tcp_transport::send_outbox()
+{
+    std::vector<std::pair<base::node_name, schema::envelope>> batch;
+    {
+        const std::lock_guard lock(outbox_mutex_);
+        batch.swap(outbox_);
+    }
+    for (const auto& [to, message] : batch)
+    {
+        send_now(to, message);
+    }
+}
+
+void tcp_transport::send_now(const base::node_name& to, const schema::envelope& message)
+{
+    auto& peer = peers_[to];
+    if (!peer.connection || !peer.connection->is_open())
+    {
+        dial(peer);
+    }
+    if (!peer.connection)
+    {
+        ++dropped_;
+        return;
+    }
+    ++sent_;
+    peer.connection->send(message);
+}
+
+void tcp_transport::dial(peer_state& peer)
+{
+    peer.connection.reset();
+    const auto now = base::steady_now();
+    if (!peer.address || now < peer.dial_after)
+    {
+        return;
+    }
+    peer.dial_after = now + dial_backoff;
+    auto connection = std::make_shared<tcp_connection>(
+        tcp::socket(io_), static_cast<tcp_connection_listener&>(*this), options_.hello);
+    peer.connection = connection;
+    connections_.push_back(connection);
+    connection->start_dialing(*peer.address);
+}
+
+bool tcp_transport::hello_received(tcp_connection& connection, const schema::hello& hello)
+{
+    if (hello.cluster() != options_.hello.cluster() ||
+        hello.protocol_version() != options_.hello.protocol_version())
+    {
+        ++refused_;
+        on_notice_("hello_refused", connection.peer(),
+                   absl::StrCat("cluster=", hello.cluster(),
+                                " protocol_version=", hello.protocol_version(),
+                                " expected cluster=", options_.hello.cluster(),
+                                " protocol_version=", options_.hello.protocol_version()));
+        return false;
+    }
+    auto& peer = peers_[connection.peer()];
+    if (!peer.connection || !peer.connection->is_established())
+    {
+        peer.connection = connection.shared_from_this();
+    }
+    on_notice_("connected", connection.peer(), hello.role());
+    return true;
+}
+
+void tcp_transport::messages_received(tcp_connection& connection,
+                                      std::vector<schema::envelope> messages)
+{
+    received_ += messages.size();
+    // The connection on which the peer was heard last is the best one to answer on.
+    peers_[connection.peer()].connection = connection.shared_from_this();
+    on_messages_(connection.peer(), std::move(messages));
+}
+
+void tcp_transport::connection_closed(tcp_connection& connection, const std::string& why)
+{
+    ++connections_closed_;
+    on_notice_("disconnected", connection.peer(), why);
+    const auto it = peers_.find(connection.peer());
+    if (it != peers_.end() && it->second.connection.get() == &connection)
+    {
+        it->second.connection.reset();
+    }
+}
+
+} // namespace savoryreach::net
