Add the replicated log, the ledger and the keeper core

Cause: entries and agents need durable claims, epochs, incarnations and configuration that survive the loss of a minority of keepers.

--- /dev/null
+++ b/savoryreach/keeper/claim_table.cpp
@@ -0,0 +1,273 @@
+#include "savoryreach/keeper/claim_table.hpp"
+
+#include "savoryreach/base/digest.hpp"
+
+#include <absl/strings/escaping.h>
+
+#include <string>
+
+namespace savoryreach::keeper
+{
+namespace
+{
+
+constexpr std::size_t digest_size = 16; ///< bytes
+
+std::uint64_t read_word(std::string_view bytes, std::size_t at)
+{
+    std::uint64_t word = 0;
+    for (std::size_t i = 0; i < sizeof word; ++i)
+    {
+        word = word << 8U | static_cast<unsigned char>(bytes[at + i]);
+    }
+    return word;
+}
+
+void write_word(std::string& bytes, std::uint64_t word)
+{
+    for (int shift = 56; shift >= 0; shift -= 8)
+    {
+        bytes.push_back(static_cast<char>(word >> static_cast<unsigned>(shift) & 0xffU));
+    }
+}
+
+/// Any other length than a digest's is reduced to a digest, so that every content has a value.
+digest_value value_of(std::string_view bytes)
+{
+    if (bytes.size() != digest_size)
+    {
+        const auto reduced = base::content_digest(bytes);
+        return {read_word(reduced, 0), read_word(reduced, 8)};
+    }
+    return {read_word(bytes, 0), read_word(bytes, 8)};
+}
+
+digest_value key_of(std::string_view submission_id)
+{
+    const auto digest = base::content_digest(submission_id);
+    return {read_word(digest, 0), read_word(digest, 8)};
+}
+
+std::string bytes_of(const digest_value& value)
+{
+    std::string bytes;
+    write_word(bytes, value.high);
+    write_word(bytes, value.low);
+    return bytes;
+}
+
+schema::claim_result result_of(schema::claim_outcome outcome)
+{
+    schema::claim_result result;
+    result.set_outcome(outcome);
+    return result;
+}
+
+} // namespace
+
+schema::claim_result claim_table::claim(const schema::claim& claim, std::uint64_t asker,
+                                        epoch_table& epochs, std::uint32_t expires_minute,
+                                        std::uint64_t max_claims)
+{
+    const auto key = key_of(claim.submission_id());
+    const auto digest = value_of(claim.digest());
+    auto& table = shard_of(key);
+    auto it = table.find(key);
+    if (it == table.end())
+    {
+        if (size_ >= max_claims)
+        {
+            return result_of(schema::claim_full);
+        }
+        auto& fresh = table[key];
+        fresh.digest = digest;
+        fresh.owner = asker;
+        ++size_;
+        extend(key, fresh, epochs, expires_minute);
+        return result_of(schema::claim_granted);
+    }
+    auto& held = it->second;
+    if (held.digest != digest)
+    {
+        return result_of(schema::claim_conflict);
+    }
+    if (held.finished)
+    {
+        return result_of(schema::claim_finished);
+    }
+    if (held.owner != asker)
+    {
+        if (epochs.standing(held.owner) == epoch_standing::live)
+        {
+            auto result = result_of(schema::claim_owned);
+            result.set_owner(epochs.find(held.owner)->join().name());
+            return result;
+        }
+        take_over(key, held, asker, epochs);
+    }
+    extend(key, held, epochs, expires_minute);
+    return held_result(key, held);
+}
+
+void claim_table::take_over(const digest_value& key, row& it, std::uint64_t asker,
+                            const epoch_table& epochs)
+{
+    // A drained epoch has finished every job of which it started a task, so that nothing of this
+    // claim is left to account for.
+    if (epochs.standing(it.owner) != epoch_standing::left)
+    {
+        earlier_[key].push_back(it.owner);
+        it.has_earlier = true;
+    }
+    it.owner = asker;
+}
+
+schema::claim_result claim_table::held_result(const digest_value& key, const row& it) const
+{
+    if (!it.has_earlier)
+    {
+        return result_of(schema::claim_granted);
+    }
+    // A resent claim gets the earlier epochs again: the first reply may have been lost, and without
+    // them the owner would start tasks that an earlier owner has started.
+    auto result = result_of(schema::claim_taken_over);
+    for (const auto epoch : earlier_.at(key))
+    {
+        result.add_earlier_epochs(epoch);
+        result.set_previous_epoch(epoch);
+    }
+    return result;
+}
+
+void claim_table::extend(const digest_value& key, row& it, epoch_table& epochs,
+                         std::uint32_t minute)
+{
+    if (minute > it.expires_minute)
+    {
+        it.expires_minute = minute;
+        expiries_[minute].push_back(key);
+    }
+    epochs.refer(it.owner, it.expires_minute);
+    if (it.has_earlier)
+    {
+        for (const auto epoch : earlier_.at(key))
+        {
+            epochs.refer(epoch, it.expires_minute);
+        }
+    }
+}
+
+void claim_table::finish(std::string_view submission_id, std::uint64_t owner, epoch_table& epochs,
+                         std::uint32_t expires_minute)
+{
+    const auto key = key_of(submission_id);
+    auto& table = shard_of(key);
+    const auto it = table.find(key);
+    if (it == table.end() || it->second.owner != owner)
+    {
+        return;
+    }
+    it->second.finished = true;
+    extend(key, it->second, epochs, expires_minute);
+}
+
+void claim_table::remove_expired(std::uint32_t minute)
+{
+    while (!expiries_.empty() && expiries_.begin()->first <= minute)
+    {
+        const auto due = expiries_.begin()->first;
+        for (const auto& key : expiries_.begin()->second)
+        {
+            auto& table = shard_of(key);
+            const auto it = table.find(key);
+            if (it != table.end() && it->second.expires_minute == due)
+            {
+                table.erase(it);
+                earlier_.erase(key);
+                --size_;
+            }
+        }
+        expiries_.erase(expiries_.begin());
+    }
+}
+
+void claim_table::save(schema::ledger_snapshot& snapshot) const
+{
+    for (const auto& table : shards_)
+    {
+        for (const auto& [key, it] : table)
+        {
+            auto* record = snapshot.add_claims();
+            // The id itself is not kept; its digest stands in its place, as text.
+            record->set_submission_id(base::to_hex(bytes_of(key)));
+            record->set_digest(bytes_of(it.digest));
+            if (it.has_earlier)
+            {
+                for (const auto epoch : earlier_.at(key))
+                {
+                    record->add_owner_epochs(epoch);
+                }
+            }
+            record->add_owner_epochs(it.owner);
+            record->set_finished(it.finished);
+            record->set_expires_at_ms(std::int64_t{it.expires_minute} * 60'000);
+        }
+    }
+}
+
+bool claim_table::load(const schema::ledger_snapshot& snapshot, epoch_table& epochs)
+{
+    shards_ = {};
+    size_ = 0;
+    earlier_.clear();
+    expiries_.clear();
+    for (const auto& record : snapshot.claims())
+    {
+        const std::string id = absl::HexStringToBytes(record.submission_id());
+        if (id.size() != digest_size || record.digest().size() != digest_size ||
+            record.owner_epochs().empty())
+        {
+            return false;
+        }
+        const auto key = value_of(id);
+        auto& it = shard_of(key)[key];
+        it.digest = value_of(record.digest());
+        it.owner = *record.owner_epochs().rbegin();
+        it.finished = record.finished();
+        it.has_earlier = record.owner_epochs_size() > 1;
+        if (it.has_earlier)
+        {
+            earlier_[key].assign(record.owner_epochs().begin(), record.owner_epochs().end() - 1);
+        }
+        ++size_;
+        extend(key, it, epochs, static_cast<std::uint32_t>(record.expires_at_ms() / 60'000));
+    }
+    return true;
+}
+
+std::uint64_t claim_table::hash() const
+{
+    // Addition makes the hash independent of the order of the tables.
+    std::uint64_t sum = size_;
+    for (const auto& table : shards_)
+    {
+        for (const auto& [key, it] : table)
+        {
+            std::string bytes = bytes_of(key) + bytes_of(it.digest);
+            write_word(bytes, it.owner);
+            write_word(bytes, it.expires_minute);
+            bytes.push_back(it.finished ? '\1' : '\0');
+            if (it.has_earlier)
+            {
+                for (const auto epoch : earlier_.at(key))
+                {
+                    write_word(bytes, epoch);
+                }
+            }
+            sum += base::stable_hash(bytes);
+        }
+    }
+    return sum;
+}
+
+} // namespace savoryreach::keeper
--- /dev/null
+++ b/savoryreach/keeper/replicated_log.cpp
@@ -0,0 +1,505 @@
+#include "savoryreach/keeper/replicated_log.hpp"
+
+#include "savoryreach/keeper/keeper_times.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace savoryreach::keeper
+{
+
+replicated_log::replicated_log(log_options options, const stored_state& stored,
+                               const keeper_ports& ports, log_client& client)
+    : options_(std::move(options)), ports_(ports), client_(client), log_(ports.storage, stored),
+      members_(options_.initial_members),
+      replicator_(options_.self, log_, members_, ports, [this] { return make_snapshot(); })
+{
+    if (stored.snapshot)
+    {
+        failed_ = !client_.load(*stored.snapshot);
+        snapshot_index_ = stored.snapshot->last_index();
+        commit_index_ = applied_index_ = snapshot_index_;
+        members_.reset(snapshot_index_, stored.snapshot->keepers());
+    }
+    for (const auto& entry : stored.entries)
+    {
+        if (entry.command().has_keepers())
+        {
+            members_.append(entry.index(), entry.command().keepers());
+        }
+    }
+    // A restarted keeper may have heard from a leader just before; it must not help to elect
+    // another one while that leader's lease runs.
+    leader_heard_at_ = ports_.clock.now();
+    reset_election_deadline();
+    learn_addresses();
+}
+
+bool replicated_log::receive(const base::node_name& from, const schema::envelope& message)
+{
+    switch (message.body_case())
+    {
+    case schema::envelope::kVoteRequest:
+        on_vote_request(from, message.vote_request());
+        return true;
+    case schema::envelope::kVoteReply:
+        on_vote_reply(message.vote_reply());
+        return true;
+    case schema::envelope::kAppendRequest:
+        on_append(from, message.append_request());
+        return true;
+    case schema::envelope::kAppendReply:
+        on_append_reply(message.append_reply());
+        return true;
+    case schema::envelope::kSnapshotChunk:
+        on_chunk(from, message.snapshot_chunk());
+        return true;
+    case schema::envelope::kSnapshotReply:
+        if (is_leader() && !failed_)
+        {
+            replicator_.on_snapshot_reply(message.snapshot_reply().follower(),
+                                          message.snapshot_reply());
+            flush();
+        }
+        return true;
+    default:
+        return false;
+    }
+}
+
+void replicated_log::tick()
+{
+    if (failed_)
+    {
+        return;
+    }
+    const auto now = ports_.clock.now();
+    if (role_ != role::leader)
+    {
+        if (now >= election_deadline_)
+        {
+            begin_pre_vote();
+        }
+        return;
+    }
+    const auto contact = std::max(replicator_.quorum_contact(), leading_since_);
+    if (contact + quorum_timeout < now)
+    {
+        follow(term());
+        return;
+    }
+    promote_learner();
+    replicator_.tick(commit_index_);
+    flush();
+}
+
+void replicated_log::flush()
+{
+    if (is_leader() && !failed_)
+    {
+        replicator_.send_entries(commit_index_);
+    }
+}
+
+void replicated_log::persisted(std::uint64_t ticket)
+{
+    if (failed_)
+    {
+        return;
+    }
+    log_.persisted(ticket);
+    while (!held_.empty() && held_.front().ticket <= log_.persisted_ticket())
+    {
+        auto it = std::move(held_.front());
+        held_.pop_front();
+        ports_.transport.send(it.to, std::move(it.message));
+    }
+    if (role_ == role::candidate && log_.is_hard_state_synced())
+    {
+        count_vote(options_.self);
+    }
+    if (is_leader())
+    {
+        advance_commit();
+    }
+    else
+    {
+        acknowledge_synced();
+    }
+}
+
+void replicated_log::storage_failed()
+{
+    failed_ = true;
+    role_ = role::follower;
+    leader_.clear();
+    held_.clear();
+    ports_.events.record("keeper_storage_failed", {});
+}
+
+void replicated_log::retire()
+{
+    retired_ = true;
+    if (role_ != role::follower)
+    {
+        follow(term());
+        leader_.clear();
+    }
+}
+
+// ---- election ----
+
+void replicated_log::reset_election_deadline()
+{
+    const auto spread = max_election_timeout - min_election_timeout;
+    election_deadline_ = ports_.clock.now() + min_election_timeout + spread * ports_.random.unit();
+}
+
+bool replicated_log::hears_leader() const
+{
+    return is_leader() ? can_serve()
+                       : !failed_ && !leader_.empty() &&
+                             leader_heard_at_ + min_election_timeout > ports_.clock.now();
+}
+
+bool replicated_log::is_log_current(std::uint64_t last_index, std::uint64_t last_term) const
+{
+    return std::pair(last_term, last_index) >= std::pair(log_.last_term(), log_.last_index());
+}
+
+bool replicated_log::may_vote() const
+{
+    // A learner without a log may have been a voter before it lost its data.
+    const bool blank_learner = log_.last_index() == 0 && !members_.is_voter(options_.self);
+    const bool leads =
+        is_leader() && replicator_.quorum_contact() + leader_lease > ports_.clock.now();
+    const bool hears_other =
+        !is_leader() && leader_heard_at_ + min_election_timeout > ports_.clock.now();
+    return !failed_ && !blank_learner && !leads && !hears_other;
+}
+
+void replicated_log::on_vote_request(const base::node_name& from,
+                                     const schema::vote_request& request)
+{
+    if (!may_vote())
+    {
+        return;
+    }
+    schema::envelope message;
+    auto& reply = *message.mutable_vote_reply();
+    reply.set_voter(options_.self);
+    reply.set_pre_vote(request.pre_vote());
+    const bool current = is_log_current(request.last_index(), request.last_term());
+    if (request.pre_vote())
+    {
+        const bool granted = request.term() > term() && current;
+        reply.set_granted(granted);
+        reply.set_term(granted ? request.term() : term());
+        ports_.transport.send(from, std::move(message));
+        return;
+    }
+    if (request.term() > term())
+    {
+        follow(request.term());
+    }
+    const auto& voted_for = log_.hard_state().voted_for();
+    const bool granted = request.term() == term() && current &&
+                         (voted_for.empty() || voted_for == request.candidate());
+    if (granted && voted_for.empty())
+    {
+        log_.save_hard_state(term(), request.candidate());
+        reset_election_deadline();
+    }
+    reply.set_granted(granted);
+    reply.set_term(term());
+    held_.push_back({log_.last_ticket(), from, std::move(message)});
+    persisted(log_.persisted_ticket());
+}
+
+void replicated_log::begin_pre_vote()
+{
+    reset_election_deadline();
+    if (retired_ || !members_.is_voter(options_.self))
+    {
+        return;
+    }
+    role_ = role::pre_candidate;
+    leader_.clear();
+    votes_.clear();
+    ask_for_votes(true);
+    count_vote(options_.self);
+}
+
+void replicated_log::begin_candidacy()
+{
+    follow(term() + 1);
+    role_ = role::candidate;
+    log_.save_hard_state(term(), options_.self);
+    votes_.clear();
+    ask_for_votes(false);
+}
+
+void replicated_log::ask_for_votes(bool pre_vote)
+{
+    for (const auto& member : members_.current().members())
+    {
+        if (!member.voter() || member.name() == options_.self)
+        {
+            continue;
+        }
+        schema::envelope message;
+        auto& request = *message.mutable_vote_request();
+        request.set_term(pre_vote ? term() + 1 : term());
+        request.set_candidate(options_.self);
+        request.set_last_index(log_.last_index());
+        request.set_last_term(log_.last_term());
+        request.set_pre_vote(pre_vote);
+        if (pre_vote)
+        {
+            ports_.transport.send(base::node_name(member.name()), std::move(message));
+        }
+        else
+        {
+            held_.push_back(
+                {log_.last_ticket(), base::node_name(member.name()), std::move(message)});
+        }
+    }
+}
+
+void replicated_log::on_vote_reply(const schema::vote_reply& reply)
+{
+    if (failed_)
+    {
+        return;
+    }
+    if (!reply.granted())
+    {
+        if (reply.term() > term())
+        {
+            follow(reply.term());
+        }
+        return;
+    }
+    const auto wanted = reply.pre_vote() ? role::pre_candidate : role::candidate;
+    const auto wanted_term = reply.pre_vote() ? term() + 1 : term();
+    if (role_ == wanted && reply.term() == wanted_term)
+    {
+        count_vote(reply.voter());
+    }
+}
+
+void replicated_log::count_vote(const std::string& voter)
+{
+    if (members_.is_voter(voter))
+    {
+        votes_.insert(voter);
+    }
+    if (votes_.size() < members_.quorum())
+    {
+        return;
+    }
+    if (role_ == role::pre_candidate)
+    {
+        begin_candidacy();
+    }
+    else if (role_ == role::candidate)
+    {
+        lead();
+    }
+}
+
+void replicated_log::lead()
+{
+    role_ = role::leader;
+    leader_ = options_.self;
+    leading_since_ = ports_.clock.now();
+    replicator_.start(term());
+    // Entries of earlier terms are committed only together with one of the own term.
+    schema::command first;
+    first.mutable_no_op();
+    own_term_index_ = *propose(std::move(first));
+    ports_.events.record("leader_elected", {{"term", absl::StrCat(term())}});
+    replicator_.send_round(commit_index_);
+}
+
+void replicated_log::follow(std::uint64_t term)
+{
+    assert(term >= this->term());
+    role_ = role::follower;
+    if (term > this->term())
+    {
+        held_.clear();
+        log_.save_hard_state(term, "");
+        leader_.clear();
+        verified_index_ = 0;
+        last_round_ = 0;
+        acknowledged_index_ = 0;
+        receiver_.clear();
+    }
+    else if (leader_ == options_.self)
+    {
+        leader_.clear();
+    }
+    reset_election_deadline();
+}
+
+void replicated_log::hear_leader(const std::string& leader, std::uint64_t term)
+{
+    if (term > this->term() || role_ != role::follower)
+    {
+        assert(!is_leader() || term > this->term());
+        follow(term);
+    }
+    leader_ = leader;
+    leader_heard_at_ = ports_.clock.now();
+    reset_election_deadline();
+}
+
+// ---- following ----
+
+void replicated_log::on_append(const base::node_name& from, const schema::append_request& request)
+{
+    if (failed_)
+    {
+        return;
+    }
+    if (request.term() < term())
+    {
+        acknowledge(from, false, 0);
+        return;
+    }
+    hear_leader(request.leader(), request.term());
+    leader_node_ = from;
+    last_round_ = std::max(last_round_, request.round());
+    std::uint64_t hint = 0;
+    if (!matches(request, hint))
+    {
+        acknowledge(from, false, hint);
+        return;
+    }
+    take_entries(request);
+    commit_to(std::min(request.commit_index(), verified_index_));
+    if (request.entries().empty() || log_.synced_index() >= verified_index_)
+    {
+        acknowledge(from, true, std::min(verified_index_, log_.synced_index()));
+    }
+}
+
+bool replicated_log::matches(const schema::append_request& request, std::uint64_t& hint) const
+{
+    const auto previous = request.previous_index();
+    if (previous < log_.first_index() - 1)
+    {
+        return true; // covered by a snapshot, hence committed
+    }
+    if (previous > log_.last_index())
+    {
+        hint = log_.last_index();
+        return false;
+    }
+    const auto held = *log_.term_at(previous);
+    if (held == request.previous_term())
+    {
+        return true;
+    }
+    // Skip the whole term that disagrees; committed entries agree always.
+    hint = previous - 1;
+    while (hint > commit_index_ && log_.term_at(hint) == held)
+    {
+        --hint;
+    }
+    return false;
+}
+
+void replicated_log::take_entries(const schema::append_request& request)
+{
+    const auto end = request.previous_index() + static_cast<std::uint64_t>(request.entries_size());
+    std::vector<schema::log_entry> fresh;
+    for (const auto& entry : request.entries())
+    {
+        if (!fresh.empty())
+        {
+            fresh.push_back(entry);
+            continue;
+        }
+        if (entry.index() < log_.first_index() || log_.term_at(entry.index()) == entry.term())
+        {
+            continue;
+        }
+        if (entry.index() <= log_.last_index())
+        {
+            assert(entry.index() > commit_index_);
+            log_.truncate_from(entry.index());
+            members_.truncate_from(entry.index());
+        }
+        fresh.push_back(entry);
+    }
+    if (!fresh.empty())
+    {
+        append_local(std::move(fresh));
+    }
+    verified_index_ = std::max(verified_index_, end);
+}
+
+void replicated_log::append_local(std::vector<schema::log_entry> entries)
+{
+    bool members_changed = false;
+    for (const auto& entry : entries)
+    {
+        if (entry.command().has_keepers())
+        {
+            members_.append(entry.index(), entry.command().keepers());
+            members_changed = true;
+        }
+    }
+    log_.append(std::move(entries));
+    if (members_changed)
+    {
+        learn_addresses();
+    }
+}
+
+void replicated_log::learn_addresses()
+{
+    for (const auto& member : members_.current().members())
+    {
+        if (member.name() != options_.self && !member.address().empty())
+        {
+            ports_.transport.learn_address(base::node_name(member.name()), member.address());
+        }
+    }
+}
+
+void replicated_log::acknowledge(const base::node_name& to, bool success, std::uint64_t match)
+{
+    schema::envelope message;
+    auto& reply = *message.mutable_append_reply();
+    reply.set_term(term());
+    reply.set_follower(options_.self);
+    reply.set_success(success);
+    reply.set_match_index(match);
+    acknowledged_index_ = success ? std::max(acknowledged_index_, match) : acknowledged_index_;
+    reply.set_round(last_round_);
+    if (log_.is_hard_state_synced())
+    {
+        ports_.transport.send(to, std::move(message));
+    }
+    else
+    {
+        held_.push_back({log_.last_ticket(), to, std::move(message)});
+    }
+}
+
+void replicated_log::acknowledge_synced()
+{
+    const auto durable = std::min(verified_index_, log_.synced_index());
+    if (durable > acknowledged_index_ && log_.is_hard_state_synced())
+    {
+        acknowledge(leader_node_, true, durable);
+    }
+}
+
+} // namespace savoryreach::keeper
