Add the session between an entry and an agent

Cause: starts and results must arrive exactly once and in order although connections fail and messages are lost, repeated or reordered.

Change: net::session numbers items, acknowledges cumulatively (riding along with data, alone after 20 ms), sends the oldest frame again after 200 ms with backoff to 2 s, and keeps up to 1,024 items that arrive early. A frame ends after 512 items or 1 MiB of payload.

--- /dev/null
+++ b/savoryreach/net/session.cpp
@@ -0,0 +1,133 @@
+#include "savoryreach/net/session.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace savoryreach::net
+{
+namespace
+{
+
+/// Several round trips plus the delayed acknowledgement, so that only a loss causes a resend.
+constexpr absl::Duration first_resend = absl::Milliseconds(200);
+constexpr absl::Duration longest_resend = absl::Seconds(2);
+/// Long enough that most acknowledgements ride along with data, far below first_resend.
+constexpr absl::Duration acknowledge_delay = absl::Milliseconds(20);
+
+absl::Duration resend_delay(std::uint32_t resends)
+{
+    const auto doublings = std::min<std::uint32_t>(resends, 10);
+    return std::min(first_resend * (1 << doublings), longest_resend);
+}
+
+} // namespace
+
+session::session(std::uint64_t epoch, std::uint64_t incarnation)
+    : epoch_(epoch), incarnation_(incarnation)
+{
+}
+
+void session::push(schema::session_item item)
+{
+    queue_.push_back(std::move(item));
+}
+
+void session::acknowledge(std::uint64_t acknowledged, absl::Time now)
+{
+    if (acknowledged <= queue_begin_ || acknowledged > next_unsent_)
+    {
+        return;
+    }
+    queue_.erase(queue_.begin(),
+                 queue_.begin() + static_cast<std::ptrdiff_t>(acknowledged - queue_begin_));
+    queue_begin_ = acknowledged;
+    resends_ = 0;
+    resend_at_ = queue_begin_ < next_unsent_ ? now + resend_delay(0) : absl::InfiniteFuture();
+}
+
+std::vector<schema::session_item> session::receive(const schema::session_frame& frame,
+                                                   absl::Time now)
+{
+    std::vector<schema::session_item> delivered;
+    if (frame.epoch() != epoch_ || frame.incarnation() != incarnation_)
+    {
+        return delivered;
+    }
+    acknowledge(frame.acknowledged(), now);
+    if (frame.items().empty())
+    {
+        return delivered;
+    }
+    // A frame of duplicates is acknowledged too: the acknowledgement may have been lost.
+    acknowledge_at_ = std::min(acknowledge_at_, now + acknowledge_delay);
+    auto sequence = frame.first_sequence();
+    for (const auto& item : frame.items())
+    {
+        if (sequence == next_expected_)
+        {
+            delivered.push_back(item);
+            ++next_expected_;
+        }
+        else if (sequence > next_expected_ && sequence - next_expected_ < reorder_window)
+        {
+            early_.try_emplace(sequence, item);
+        }
+        ++sequence;
+    }
+    while (!early_.empty() && early_.begin()->first <= next_expected_)
+    {
+        if (early_.begin()->first == next_expected_)
+        {
+            delivered.push_back(std::move(early_.begin()->second));
+            ++next_expected_;
+        }
+        early_.erase(early_.begin());
+    }
+    return delivered;
+}
+
+schema::session_frame session::make_frame(std::uint64_t first, std::uint64_t end)
+{
+    schema::session_frame frame;
+    frame.set_epoch(epoch_);
+    frame.set_incarnation(incarnation_);
+    frame.set_first_sequence(first);
+    frame.set_acknowledged(next_expected_);
+    acknowledge_at_ = absl::InfiniteFuture();
+    const auto last = std::min(end, first + max_items_per_frame);
+    std::size_t bytes = 0;
+    for (auto sequence = first; sequence < last && bytes < max_bytes_per_frame; ++sequence)
+    {
+        const auto& item = queue_[sequence - queue_begin_];
+        bytes += item.ByteSizeLong();
+        *frame.add_items() = item;
+    }
+    return frame;
+}
+
+std::optional<schema::session_frame> session::poll(absl::Time now)
+{
+    assert(queue_begin_ <= next_unsent_);
+    const auto end = queue_begin_ + queue_.size();
+    if (next_unsent_ < end)
+    {
+        auto frame = make_frame(next_unsent_, end);
+        next_unsent_ += static_cast<std::uint64_t>(frame.items_size());
+        resend_at_ = std::min(resend_at_, now + resend_delay(resends_));
+        return frame;
+    }
+    if (queue_begin_ < next_unsent_ && now >= resend_at_)
+    {
+        ++resends_;
+        resend_at_ = now + resend_delay(resends_);
+        return make_frame(queue_begin_, next_unsent_);
+    }
+    if (now >= acknowledge_at_)
+    {
+        return make_frame(next_unsent_, next_unsent_);
+    }
+    return std::nullopt;
+}
+
+} // namespace savoryreach::net
--- a/savoryreach/net/session.hpp
+++ b/savoryreach/net/session.hpp
@@ -3,6 +3,7 @@
 
 #include "schema/generated/wire.pb.h"
 
+#include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -40,14 +41,24 @@
     [[nodiscard]] std::size_t unacknowledged() const { return queue_.size(); }
 
     static constexpr std::size_t max_items_per_frame = 512;
+    /// A frame ends after the item that reaches this many payload bytes.
+    static constexpr std::size_t max_bytes_per_frame = 1 << 20;
+    /// Items ahead of the next expected one that are kept; those beyond are sent again.
+    static constexpr std::uint64_t reorder_window = 2 * max_items_per_frame;
 
 private:
-    std::uint64_t epoch_;                           ///< of the entry
-    std::uint64_t incarnation_;                     ///< of the agent
-    std::deque<schema::session_item> queue_;        ///< not acknowledged by the other end
-    std::uint64_t queue_begin_ = 1;                 ///< sequence number of queue_.front()
-    std::uint64_t next_unsent_ = 1;                 ///< first sequence number that was never sent
-    std::uint64_t next_expected_ = 1;               ///< next sequence number to deliver
+    /// Drops the items below \p acknowledged from the queue.
+    void acknowledge(std::uint64_t acknowledged, absl::Time now);
+    /// A frame with the items from \p first on; the owed acknowledgement rides along.
+    [[nodiscard]] schema::session_frame make_frame(std::uint64_t first, std::uint64_t end);
+
+    std::uint64_t epoch_;                    ///< of the entry
+    std::uint64_t incarnation_;              ///< of the agent
+    std::deque<schema::session_item> queue_; ///< not acknowledged by the other end
+    std::uint64_t queue_begin_ = 1;          ///< sequence number of queue_.front()
+    std::uint64_t next_unsent_ = 1;          ///< first sequence number that was never sent
+    std::uint64_t next_expected_ = 1;        ///< next sequence number to deliver
+    absl::btree_map<std::uint64_t, schema::session_item> early_; ///< received out of order
     absl::Time resend_at_ = absl::InfiniteFuture(); ///< deadline of the oldest unacknowledged item
     absl::Time acknowledge_at_ = absl::InfiniteFuture(); ///< deadline of an owed acknowledgement
     std::uint32_t resends_ = 0;                          ///< consecutive resends, for the backoff
--- a/tests/net/sources.cmake
+++ b/tests/net/sources.cmake
@@ -1,1 +1,3 @@
 # Tests of this folder.
+savoryreach_test(session_test
+  net/session_test.cpp)
