--- /dev/null
+++ b/daemons/command_line.hpp
@@ -0,0 +1,87 @@
+#ifndef SAVORYREACH_DAEMONS_COMMAND_LINE_HPP
+#define SAVORYREACH_DAEMONS_COMMAND_LINE_HPP
+
+#include "savoryreach/base/error.hpp"
+#include "savoryreach/daemon/logger.hpp"
+#include "savoryreach/daemon/node.hpp"
+#include "savoryreach/daemon/shutdown_signal.hpp"
+
+#include <gflags/gflags.h>
+#include <google/protobuf/util/json_util.h>
+#include <json/json.h>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <string>
+
+DECLARE_string(settings);
+DECLARE_bool(check_settings);
+
+namespace savoryreach::daemons
+{
+
+/// Exit code for settings or a command line that can't be used.
+inline constexpr int exit_bad_settings = 2;
+
+/// Reads a settings file; prints the reason when it can't be used.
+template <typename Settings> std::optional<Settings> load_settings(const std::string& file)
+{
+    std::ifstream in(file);
+    Json::Value value;
+    std::string errors;
+    Settings settings;
+    if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &errors))
+    {
+        std::cerr << file << ": " << errors << "\n";
+        return std::nullopt;
+    }
+    const auto status = google::protobuf::util::JsonStringToMessage(
+        Json::writeString(Json::StreamWriterBuilder(), value), &settings);
+    if (!status.ok())
+    {
+        std::cerr << file << ": " << status.ToString() << "\n";
+        return std::nullopt;
+    }
+    return settings;
+}
+
+/// The main function of every daemon: command line, settings, log, then \p serve.
+template <typename Settings, typename Serve>
+int run_daemon(int argc, char** argv, const std::string& usage, Serve serve)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const daemon::shutdown_signal signals;
+    const auto settings = load_settings<Settings>(FLAGS_settings);
+    if (!settings)
+    {
+        return exit_bad_settings;
+    }
+    if (FLAGS_check_settings)
+    {
+        std::cout << FLAGS_settings << ": settings are valid\n";
+        return 0;
+    }
+    daemon::open_log(settings->common().log_file(), settings->common().name());
+    return serve(*settings);
+}
+
+/// Logs the start of a node and runs it until it is stopped. \p error is what start() returned.
+template <typename Core>
+int finish(daemon::node& node, Core& core, const std::optional<base::reason>& error)
+{
+    if (error)
+    {
+        daemon::log(daemon::log_level::error, "start_failed", {{"reason", error->text}});
+        return 1;
+    }
+    daemon::log(daemon::log_level::info, "started", {});
+    return node.run_until_stopped([&core] { core.begin_drain(); },
+                                  [&core] { return core.is_drained(); });
+}
+
+} // namespace savoryreach::daemons
+
+#endif
--- a/savoryreach/daemon/http_endpoint.cpp
+++ b/savoryreach/daemon/http_endpoint.cpp
@@ -35,7 +35,9 @@
     }
 }
 
-http_endpoint::~http_endpoint()
+http_endpoint::~http_endpoint() { close(); }
+
+void http_endpoint::close()
 {
     {
         const std::lock_guard lock(mutex_);
@@ -50,6 +52,7 @@
     {
         it.join();
     }
+    threads_.clear();
 }
 
 void http_endpoint::run(const agent::run_request& request)
--- a/savoryreach/daemon/http_endpoint.hpp
+++ b/savoryreach/daemon/http_endpoint.hpp
@@ -36,6 +36,9 @@
     void run(const agent::run_request& request) override;
     void stop(std::uint64_t run_id) override;
 
+    /// Breaks off all runs and joins the threads.
+    void close();
+
 private:
     void serve();
     agent::run_outcome run_now(httplib::Client& client, const agent::run_request& request);
--- /dev/null
+++ b/savoryreach/daemon/node.hpp
@@ -0,0 +1,68 @@
+#ifndef SAVORYREACH_DAEMON_NODE_HPP
+#define SAVORYREACH_DAEMON_NODE_HPP
+
+#include "savoryreach/base/seeded_random.hpp"
+#include "savoryreach/base/system_clock.hpp"
+#include "savoryreach/daemon/control_loop.hpp"
+#include "savoryreach/daemon/http_server.hpp"
+#include "savoryreach/net/tcp_transport.hpp"
+#include "savoryreach/observe/event_sink.hpp"
+#include "schema/generated/settings.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace savoryreach::daemon
+{
+
+/// What every daemon is made of besides its core: clocks, transport, control thread, HTTP server
+/// and the shutdown sequence.
+class node
+{
+public:
+    using message_handler =
+        std::function<void(const base::node_name& from, const schema::envelope& message)>;
+
+    node(const schema::common_settings& settings, const std::string& role, http_limits limits);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    [[nodiscard]] const base::clock& clock() const { return clock_; }
+    base::random_source& random() { return random_; }
+    net::transport& transport() { return transport_; }
+    observe::event_sink& events() { return *events_; }
+    control_loop& loop() { return loop_; }
+    http_server& http() { return http_; }
+
+    /// Starts all threads; both handlers run on the control thread. The reason when a listener fails.
+    [[nodiscard]] std::optional<base::reason> start(message_handler on_message,
+                                                    std::function<void()> on_tick);
+
+    /// Waits for a signal, drains, and stops all threads. \p begin_drain and \p is_drained run on
+    /// the control thread. Returns the exit code: 0 when everything in flight was finished.
+    int run_until_stopped(const std::function<void()>& begin_drain,
+                          const std::function<bool()>& is_drained);
+
+    /// Stops all threads; nothing runs on the control thread afterwards.
+    void stop();
+
+    [[nodiscard]] net::tcp_transport_counts message_counts() const { return transport_.counts(); }
+
+private:
+    void handle_messages(const base::node_name& from, std::vector<schema::envelope> messages);
+
+    schema::common_settings settings_;
+    base::system_clock clock_;
+    base::seeded_random random_;
+    std::unique_ptr<observe::event_sink> events_;
+    message_handler on_message_;
+    control_loop loop_;
+    http_server http_;
+    net::tcp_transport transport_;
+};
+
+} // namespace savoryreach::daemon
+
+#endif
--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -5,6 +5,8 @@
   daemon/http_endpoint.cpp
   daemon/http_server.cpp
   daemon/logger.cpp
+  daemon/node.cpp
   daemon/shutdown_signal.cpp
+  daemon/status_pages.cpp
   daemon/submission_json.cpp
   daemon/thread_per_connection.cpp)
