--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,1 +1,2 @@
-# Tests of this folder.
+savoryreach_test(daemon_test
+  daemon/submission_json_test.cpp)
--- /dev/null
+++ b/tests/net/frame_test.cpp
@@ -0,0 +1,85 @@
+#include "savoryreach/net/frame.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace savoryreach::net
+{
+namespace
+{
+
+class frame_test : public testing::Test
+{
+protected:
+    static std::string stream_of(int n)
+    {
+        std::string out;
+        for (int each = 0; each < n; ++each)
+        {
+            schema::envelope message;
+            message.mutable_hello()->set_node("node-" + std::to_string(each));
+            append_frame(out, message);
+        }
+        return out;
+    }
+};
+
+// Guards against messages lost or merged when the stream arrives in pieces of any size.
+TEST_F(frame_test, stream_in_pieces_yields_every_message_once)
+{
+    constexpr int count = 20;
+    const auto stream = stream_of(count);
+    for (std::size_t piece = 1; piece < 40; ++piece)
+    {
+        frame_decoder decoder;
+        int seen = 0;
+        for (std::size_t begin = 0; begin < stream.size(); begin += piece)
+        {
+            decoder.feed(std::string_view(stream).substr(begin, piece));
+            while (const auto message = decoder.next())
+            {
+                EXPECT_EQ(message->hello().node(), "node-" + std::to_string(seen));
+                ++seen;
+            }
+        }
+        EXPECT_EQ(seen, count);
+    }
+}
+
+// Guards against a foreign peer that makes the process allocate without bound.
+TEST_F(frame_test, length_over_the_bound_ends_the_stream)
+{
+    frame_decoder decoder;
+    decoder.feed("\xff\xff\xff\xffGET / HTTP/1.1");
+    EXPECT_FALSE(decoder.next());
+    ASSERT_TRUE(decoder.error());
+    EXPECT_EQ(decoder.error()->kind, base::error_kind::too_large);
+}
+
+// Guards against a crash on bytes that no process of this cluster sent.
+TEST_F(frame_test, mutated_streams_never_crash)
+{
+    std::mt19937_64 engine(23);
+    const auto original = stream_of(4);
+    constexpr int runs = 20'000;
+    for (int n = 0; n < runs; ++n)
+    {
+        auto stream = original;
+        for (auto changes = 1 + engine() % 4; changes > 0; --changes)
+        {
+            stream[engine() % stream.size()] = static_cast<char>(engine() % 256);
+        }
+        frame_decoder decoder;
+        decoder.feed(stream);
+        int seen = 0;
+        while (decoder.next())
+        {
+            ++seen;
+        }
+        EXPECT_LE(seen, static_cast<int>(stream.size() / frame_header_bytes));
+    }
+}
+
+} // namespace
+} // namespace savoryreach::net
