Add the agent core with its plain path

Cause: tasks start at agents only, so the agent has to hold every rule of a start.

Change: registration at the keepers, entry sessions with leases, the slot table, the record of started attempts, credits, fences by inquiry, and the drain, as small classes behind agent_core.

--- /dev/null
+++ b/savoryreach/agent/agent_core.cpp
@@ -0,0 +1,573 @@
+#include "savoryreach/agent/agent_core.hpp"
+
+#include "savoryreach/agent/entry_session.hpp"
+#include "savoryreach/agent/inquiry_table.hpp"
+#include "savoryreach/agent/registration.hpp"
+#include "savoryreach/agent/task_runner.hpp"
+#include "savoryreach/agent/view_store.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace savoryreach::agent
+{
+namespace
+{
+
+/// After the lease has expired running tasks get this long to end by themselves.
+constexpr absl::Duration stop_after_expiry = absl::Seconds(3);
+/// A start that was sent before the entry knew of the drain may be lost and sent again.
+constexpr absl::Duration drain_quiet = absl::Seconds(1);
+/// A drain waits this long after a lost lease for the entry or an inquiry to fetch results: the
+/// entry lease, the session lease and the inquiry deadline.
+constexpr absl::Duration drain_grace = absl::Seconds(10);
+constexpr std::size_t default_result_bytes = 16 << 20;
+
+std::size_t result_bound(const schema::agent_settings& settings)
+{
+    return settings.max_result_bytes() == 0 ? default_result_bytes : settings.max_result_bytes();
+}
+
+/// Covers the round trip between a task's end and the next start while a slot would stay free.
+std::uint32_t prefetch_for(std::uint32_t slots)
+{
+    return std::max<std::uint32_t>(1, slots / 4);
+}
+
+} // namespace
+
+struct agent_core::state final : session_directory
+{
+    using session_map = absl::btree_map<std::uint64_t, entry_session>;
+
+    state(const schema::agent_settings& settings_in, agent_ports ports_in);
+
+    [[nodiscard]] bool may_start(std::uint64_t epoch) const override;
+    void push(std::uint64_t epoch, schema::session_item item) override;
+    [[nodiscard]] std::string entry_of(std::uint64_t epoch) const override;
+
+    void on_keeper_reply(const base::node_name& from, const schema::keeper_reply& reply);
+    void on_hello_reply(const base::node_name& from, const schema::agent_hello_reply& reply);
+    void on_frame(const base::node_name& from, const schema::session_frame& frame);
+    void on_item(entry_session& session, const schema::session_item& item);
+    void on_inquiry(const base::node_name& from, const schema::inquiry& inquiry);
+
+    void apply_view(const schema::cluster_view& view);
+    void drop_incarnation();
+    entry_session* current_session(const base::node_name& entry);
+    entry_session* adopt_epoch(const base::node_name& entry, std::uint64_t epoch);
+    void close_session(entry_session& session, std::string_view reason);
+    void fence(std::uint64_t epoch, const std::string& peer);
+    void check_leases();
+    void drop_finished_sessions();
+    void send_hellos();
+    void send_hello(entry_session& session);
+    void send_credits();
+    void send_frames();
+    void send_inquiry_replies();
+    [[nodiscard]] bool is_handed_over(const entry_session& session) const;
+    void continue_drain();
+
+    schema::agent_settings settings;
+    agent_ports ports;
+    registration registrar;
+    view_store views;
+    credit_book credits;
+    task_runner runner;
+    inquiry_table inquiries;
+    session_map sessions; ///< by epoch
+    bool is_draining = false;
+    absl::Time drain_began = absl::InfiniteFuture();
+    absl::Time last_start_at = absl::InfinitePast(); ///< receipt of the latest start
+    std::uint64_t last_request_id = 0;
+    std::uint64_t frames_sent = 0;
+    std::uint64_t frames_received = 0;
+};
+
+agent_core::state::state(const schema::agent_settings& settings_in, agent_ports ports_in)
+    : settings(settings_in), ports(ports_in),
+      registrar(settings_in.common(), ports.clock, ports.random, ports.transport),
+      credits(settings_in.slots(), prefetch_for(settings_in.slots())),
+      runner(settings_in.slots(), result_bound(settings_in),
+             {ports.clock, ports.endpoint, ports.events, *this, credits})
+{
+}
+
+bool agent_core::state::may_start(std::uint64_t epoch) const
+{
+    const auto it = sessions.find(epoch);
+    return it != sessions.end() && !views.is_fenced(epoch) &&
+           it->second.is_lease_valid(ports.clock.now());
+}
+
+void agent_core::state::push(std::uint64_t epoch, schema::session_item item)
+{
+    const auto it = sessions.find(epoch);
+    if (it != sessions.end() && it->second.current_phase() != entry_session::phase::closed)
+    {
+        it->second.stream().push(std::move(item));
+    }
+}
+
+std::string agent_core::state::entry_of(std::uint64_t epoch) const
+{
+    const auto it = sessions.find(epoch);
+    return it == sessions.end() ? std::string() : it->second.entry().value();
+}
+
+void agent_core::state::on_keeper_reply(const base::node_name& from,
+                                        const schema::keeper_reply& reply)
+{
+    switch (registrar.receive(from, reply))
+    {
+    case registration::change::registered:
+        ports.events.record(
+            "agent_registered",
+            {{"peer", from.value()}, {"incarnation", absl::StrCat(registrar.incarnation())}});
+        apply_view(reply.register_agent().view());
+        break;
+    case registration::change::renewed:
+        apply_view(reply.renew_agent().view());
+        break;
+    case registration::change::expired:
+        drop_incarnation();
+        views.apply(reply.renew_agent().view());
+        break;
+    case registration::change::left:
+        ports.events.record("drain_finished", {{"peer", from.value()}});
+        break;
+    case registration::change::none:
+        break;
+    }
+}
+
+void agent_core::state::drop_incarnation()
+{
+    runner.abandon_all();
+    credits.clear();
+    inquiries.clear();
+    sessions.clear();
+}
+
+void agent_core::state::apply_view(const schema::cluster_view& view)
+{
+    views.apply(view);
+    if (registrar.incarnation() == 0)
+    {
+        return;
+    }
+    for (const auto& entry : views.entries())
+    {
+        const base::node_name name(entry.name());
+        ports.transport.learn_address(name, entry.address());
+        adopt_epoch(name, entry.epoch());
+    }
+    for (auto& [epoch, session] : sessions)
+    {
+        if (views.is_fenced(epoch) && session.current_phase() != entry_session::phase::closed)
+        {
+            fence(epoch, session.entry().value());
+        }
+    }
+}
+
+entry_session* agent_core::state::current_session(const base::node_name& entry)
+{
+    // The highest epoch of a name is its latest process.
+    for (auto it = sessions.rbegin(); it != sessions.rend(); ++it)
+    {
+        if (it->second.entry() == entry)
+        {
+            return &it->second;
+        }
+    }
+    return nullptr;
+}
+
+entry_session* agent_core::state::adopt_epoch(const base::node_name& entry, std::uint64_t epoch)
+{
+    auto* current = current_session(entry);
+    if (views.is_fenced(epoch) || (current != nullptr && current->epoch() > epoch))
+    {
+        return nullptr;
+    }
+    if (current != nullptr && current->epoch() == epoch)
+    {
+        return current;
+    }
+    if (current != nullptr)
+    {
+        close_session(*current, "the entry has a new epoch");
+    }
+    return &sessions.try_emplace(epoch, entry, epoch, registrar.incarnation()).first->second;
+}
+
+void agent_core::state::close_session(entry_session& session, std::string_view reason)
+{
+    if (session.close())
+    {
+        runner.discard_waiting(session.epoch(), reason);
+        credits.forget(session.epoch());
+    }
+}
+
+void agent_core::state::fence(std::uint64_t epoch, const std::string& peer)
+{
+    const auto it = sessions.find(epoch);
+    const bool was_open =
+        it != sessions.end() && it->second.current_phase() != entry_session::phase::closed;
+    if (views.fence(epoch) || was_open)
+    {
+        ports.events.record("epoch_fenced", {{"peer", peer}, {"epoch", absl::StrCat(epoch)}});
+    }
+    if (was_open)
+    {
+        close_session(it->second, "the epoch is fenced");
+    }
+}
+
+void agent_core::state::on_hello_reply(const base::node_name& from,
+                                       const schema::agent_hello_reply& reply)
+{
+    auto* asked = current_session(from);
+    if (asked == nullptr || reply.incarnation() != registrar.incarnation())
+    {
+        return;
+    }
+    const auto sent_at = asked->hello_time(reply.request_id());
+    if (!sent_at)
+    {
+        return;
+    }
+    if (*sent_at >= drain_began)
+    {
+        asked->confirm_drain();
+    }
+    apply_view(reply.view());
+    auto* session = adopt_epoch(from, reply.epoch());
+    if (session == nullptr || reply.lease_ms() == 0)
+    {
+        return;
+    }
+    if (session->extend_lease(*sent_at + absl::Milliseconds(reply.lease_ms()), ports.clock.now()))
+    {
+        ports.events.record("session_opened",
+                            {{"peer", from.value()}, {"epoch", absl::StrCat(reply.epoch())}});
+        credits.open(reply.epoch());
+    }
+    credits.set_demand(reply.epoch(), reply.demand());
+}
+
+void agent_core::state::on_frame(const base::node_name& from, const schema::session_frame& frame)
+{
+    const auto it = sessions.find(frame.epoch());
+    if (it == sessions.end() || it->second.entry() != from)
+    {
+        return;
+    }
+    auto& session = it->second;
+    const auto phase = session.current_phase();
+    if (phase == entry_session::phase::connecting || phase == entry_session::phase::closed)
+    {
+        // Before the first lease a start would only be refused; the entry sends the frame again.
+        return;
+    }
+    ++frames_received;
+    for (const auto& item : session.stream().receive(frame, ports.clock.now()))
+    {
+        on_item(session, item);
+    }
+}
+
+void agent_core::state::on_item(entry_session& session, const schema::session_item& item)
+{
+    const auto epoch = session.epoch();
+    switch (item.body_case())
+    {
+    case schema::session_item::kStart:
+        last_start_at = ports.clock.now();
+        runner.receive_start(epoch, item.start());
+        break;
+    case schema::session_item::kRecall:
+        runner.receive_recall(epoch, item.recall());
+        break;
+    case schema::session_item::kCancel:
+        runner.receive_cancel(epoch, item.cancel());
+        break;
+    case schema::session_item::kRelease:
+        runner.receive_release(epoch, item.release(),
+                               [this](std::uint64_t owner) { return views.is_fenced(owner); });
+        break;
+    case schema::session_item::kDemand:
+        credits.set_demand(epoch, item.demand().waiting());
+        break;
+    default:
+        // Items of the other direction have no meaning here.
+        break;
+    }
+}
+
+void agent_core::state::on_inquiry(const base::node_name& from, const schema::inquiry& inquiry)
+{
+    if (registrar.incarnation() == 0 || inquiry.dead_epoch() == 0)
+    {
+        return;
+    }
+    fence(inquiry.dead_epoch(), from.value());
+    inquiries.asked(from, inquiry, ports.clock.now());
+}
+
+void agent_core::state::check_leases()
+{
+    const auto now = ports.clock.now();
+    for (auto& [epoch, session] : sessions)
+    {
+        if (session.check_lease(now))
+        {
+            ports.events.record("session_lease_expired", {{"peer", session.entry().value()},
+                                                          {"epoch", absl::StrCat(epoch)}});
+            runner.discard_waiting(epoch, "the session lease has expired");
+            credits.close(epoch);
+        }
+        if (now >= session.lease_until() + stop_after_expiry && !inquiries.is_awaited(epoch, now))
+        {
+            runner.stop_running(epoch);
+        }
+    }
+}
+
+void agent_core::state::drop_finished_sessions()
+{
+    for (auto it = sessions.begin(); it != sessions.end();)
+    {
+        auto& session = it->second;
+        const auto phase = session.current_phase();
+        const bool is_gone =
+            phase != entry_session::phase::open && !views.has_entry(session.entry().value());
+        if ((phase == entry_session::phase::closed || is_gone) &&
+            runner.slots().running_of(it->first) == 0)
+        {
+            credits.forget(it->first);
+            it = sessions.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+}
+
+void agent_core::state::send_hellos()
+{
+    if (registrar.incarnation() == 0 || registrar.has_left())
+    {
+        return;
+    }
+    const auto now = ports.clock.now();
+    for (auto& [epoch, session] : sessions)
+    {
+        if (session.is_hello_due(now) && views.has_entry(session.entry().value()))
+        {
+            send_hello(session);
+        }
+    }
+}
+
+void agent_core::state::send_hello(entry_session& session)
+{
+    schema::envelope message;
+    auto& hello = *message.mutable_agent_hello();
+    hello.set_agent(settings.common().name());
+    hello.set_incarnation(registrar.incarnation());
+    hello.set_data_centre(settings.common().data_centre());
+    hello.set_slots(settings.slots());
+    hello.set_request_id(++last_request_id);
+    hello.set_draining(is_draining);
+    hello.set_config_revision(views.config_revision());
+    *hello.mutable_kinds() = settings.kinds();
+    runner.counters().write(hello);
+    session.hello_sent(last_request_id, ports.clock.now());
+    ports.transport.send(session.entry(), std::move(message));
+}
+
+void agent_core::state::send_credits()
+{
+    for (const auto& change : credits.rebalance())
+    {
+        schema::session_item item;
+        item.mutable_credit()->set_limit(change.limit);
+        push(change.epoch, std::move(item));
+    }
+}
+
+void agent_core::state::send_frames()
+{
+    const auto now = ports.clock.now();
+    for (auto& [epoch, session] : sessions)
+    {
+        const auto phase = session.current_phase();
+        if (phase == entry_session::phase::connecting || phase == entry_session::phase::closed)
+        {
+            continue;
+        }
+        while (auto frame = session.stream().poll(now))
+        {
+            schema::envelope message;
+            *message.mutable_session() = *std::move(frame);
+            ports.transport.send(session.entry(), std::move(message));
+            ++frames_sent;
+        }
+    }
+}
+
+void agent_core::state::send_inquiry_replies()
+{
+    inquiries.expire(ports.clock.now());
+    for (auto& [asker, reply] : inquiries.take_replies(runner.records()))
+    {
+        reply.set_agent(settings.common().name());
+        reply.set_incarnation(registrar.incarnation());
+        schema::envelope message;
+        *message.mutable_inquiry_reply() = std::move(reply);
+        ports.transport.send(asker, std::move(message));
+    }
+}
+
+bool agent_core::state::is_handed_over(const entry_session& session) const
+{
+    const auto now = ports.clock.now();
+    switch (session.current_phase())
+    {
+    case entry_session::phase::connecting:
+    case entry_session::phase::closed:
+        return true;
+    case entry_session::phase::open:
+        return session.is_drain_confirmed() && session.stream().unacknowledged() == 0;
+    case entry_session::phase::expired:
+        break;
+    }
+    return session.stream().unacknowledged() == 0 || now >= session.lease_until() + drain_grace;
+}
+
+void agent_core::state::continue_drain()
+{
+    if (!is_draining || registrar.is_leaving() || runner.slots().running() > 0)
+    {
+        return;
+    }
+    const bool is_quiet = ports.clock.now() >= std::max(drain_began, last_start_at) + drain_quiet;
+    const bool are_all_handed_over =
+        std::all_of(sessions.begin(), sessions.end(),
+                    [this](const auto& item) { return is_handed_over(item.second); });
+    if (registrar.incarnation() == 0 || (is_quiet && are_all_handed_over))
+    {
+        registrar.leave();
+    }
+}
+
+agent_core::agent_core(const schema::agent_settings& settings, agent_ports ports)
+    : state_(std::make_unique<state>(settings, ports))
+{
+}
+
+agent_core::~agent_core() = default;
+
+void agent_core::receive(const base::node_name& from, const schema::envelope& message)
+{
+    // A lease that has lapsed must be noticed before a later reply extends it: the entry may
+    // already have given up the starts that wait here.
+    state_->check_leases();
+    switch (message.body_case())
+    {
+    case schema::envelope::kKeeperReply:
+        state_->on_keeper_reply(from, message.keeper_reply());
+        break;
+    case schema::envelope::kAgentHelloReply:
+        state_->on_hello_reply(from, message.agent_hello_reply());
+        break;
+    case schema::envelope::kSession:
+        state_->on_frame(from, message.session());
+        break;
+    case schema::envelope::kInquiry:
+        state_->on_inquiry(from, message.inquiry());
+        break;
+    default:
+        // Not meant for an agent.
+        break;
+    }
+}
+
+void agent_core::tick()
+{
+    state_->registrar.tick();
+    state_->check_leases();
+    state_->runner.tick();
+    state_->drop_finished_sessions();
+    state_->continue_drain();
+    state_->send_hellos();
+    state_->send_credits();
+    state_->send_frames();
+    state_->send_inquiry_replies();
+}
+
+void agent_core::run_ended(std::uint64_t run_id, const run_outcome& outcome)
+{
+    if (const auto epoch = state_->runner.run_ended(run_id, outcome))
+    {
+        state_->inquiries.task_ended(*epoch);
+    }
+}
+
+void agent_core::begin_drain()
+{
+    if (!std::exchange(state_->is_draining, true))
+    {
+        state_->drain_began = state_->ports.clock.now();
+        state_->ports.events.record("drain_started", {});
+        state_->credits.set_draining();
+        state_->runner.begin_drain();
+        for (auto& [epoch, session] : state_->sessions)
+        {
+            session.hasten_hello();
+        }
+    }
+}
+
+bool agent_core::is_drained() const
+{
+    return state_->registrar.has_left() && state_->runner.slots().running() == 0;
+}
+
+bool agent_core::is_ready() const
+{
+    return state_->registrar.incarnation() != 0 && !state_->is_draining &&
+           std::any_of(state_->sessions.begin(), state_->sessions.end(),
+                       [this](const auto& item)
+                       { return item.second.is_lease_valid(state_->ports.clock.now()); });
+}
+
+agent_status agent_core::status() const
+{
+    const auto& runner = state_->runner;
+    agent_status status;
+    status.incarnation = state_->registrar.incarnation();
+    status.config_revision = state_->views.config_revision();
+    status.sessions = static_cast<std::size_t>(
+        std::count_if(state_->sessions.begin(), state_->sessions.end(),
+                      [](const auto& item)
+                      { return item.second.current_phase() == entry_session::phase::open; }));
+    status.running = runner.slots().running();
+    status.waiting = runner.slots().waiting();
+    status.start_records = runner.records().size();
+    status.result_bytes = runner.records().result_bytes();
+    status.starts = runner.starts();
+    status.succeeded = runner.counters().succeeded();
+    status.failed = runner.counters().failed();
+    status.frames_sent = state_->frames_sent;
+    status.frames_received = state_->frames_received;
+    return status;
+}
+
+} // namespace savoryreach::agent
--- /dev/null
+++ b/savoryreach/agent/entry_session.hpp
@@ -0,0 +1,69 @@
+#ifndef SAVORYREACH_AGENT_ENTRY_SESSION_HPP
+#define SAVORYREACH_AGENT_ENTRY_SESSION_HPP
+
+#include "savoryreach/base/node_name.hpp"
+#include "savoryreach/net/session.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace savoryreach::agent
+{
+
+/// One entry epoch as the agent sees it: the hellos that renew the session lease, the lease and the
+/// message stream.
+class entry_session
+{
+public:
+    enum class phase
+    {
+        connecting, ///< no lease yet
+        open,       ///< the lease was valid at the last check
+        expired,    ///< the lease has expired; a new one reopens the session
+        closed,     ///< fenced or replaced; never opens again
+    };
+
+    entry_session(base::node_name entry, std::uint64_t epoch, std::uint64_t incarnation);
+
+    [[nodiscard]] bool is_hello_due(absl::Time now) const;
+    void hello_sent(std::uint64_t request_id, absl::Time now);
+    /// When the hello \p request_id was sent; nullopt for an unknown or far too old one.
+    [[nodiscard]] std::optional<absl::Time> hello_time(std::uint64_t request_id) const;
+
+    /// Makes the next hello due at once.
+    void hasten_hello() { hello_at_ = absl::InfinitePast(); }
+    /// The entry has answered a hello that announced the drain.
+    void confirm_drain() { is_drain_confirmed_ = true; }
+    [[nodiscard]] bool is_drain_confirmed() const { return is_drain_confirmed_; }
+
+    /// Takes a lease that ends at \p until. True when it opens the session.
+    [[nodiscard]] bool extend_lease(absl::Time until, absl::Time now);
+    /// Notices the end of the lease. True when the session has just expired.
+    [[nodiscard]] bool check_lease(absl::Time now);
+    /// True when it was not closed before.
+    bool close();
+
+    [[nodiscard]] bool is_lease_valid(absl::Time now) const;
+    [[nodiscard]] absl::Time lease_until() const { return lease_until_; }
+    [[nodiscard]] phase current_phase() const { return phase_; }
+    [[nodiscard]] const base::node_name& entry() const { return entry_; }
+    [[nodiscard]] std::uint64_t epoch() const { return stream_.epoch(); }
+    [[nodiscard]] net::session& stream() { return stream_; }
+    [[nodiscard]] const net::session& stream() const { return stream_; }
+
+private:
+    base::node_name entry_;
+    net::session stream_;
+    phase phase_ = phase::connecting;
+    absl::Time lease_until_ = absl::InfinitePast();
+    bool is_drain_confirmed_ = false;
+    absl::Time hello_at_ = absl::InfinitePast();             ///< next hello
+    absl::btree_map<std::uint64_t, absl::Time> hello_times_; ///< by request id, recent ones
+};
+
+} // namespace savoryreach::agent
+
+#endif
--- /dev/null
+++ b/savoryreach/agent/registration.cpp
@@ -0,0 +1,175 @@
+#include "savoryreach/agent/registration.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryreach::agent
+{
+namespace
+{
+
+/// Keepers expire an agent after 15 s of silence, so two renewals may fail.
+constexpr absl::Duration renew_interval = absl::Seconds(5);
+/// A synced log write takes several ms; longer silence means that this keeper can't answer.
+constexpr absl::Duration answer_deadline = absl::Seconds(1);
+/// Pause when no keeper names a leader; an election takes about 1 s.
+constexpr absl::Duration no_leader_pause = absl::Milliseconds(100);
+/// Keepers with diverging views may point at each other.
+constexpr std::uint32_t max_redirects = 3;
+
+} // namespace
+
+registration::registration(const schema::common_settings& settings, const base::clock& clock,
+                           base::random_source& random, net::transport& transport)
+    : clock_(clock), random_(random), transport_(transport), name_(settings.name()),
+      process_nonce_(random.next()), send_at_(clock.now())
+{
+    assert(settings.keepers_size() > 0);
+    for (const auto& keeper : settings.keepers())
+    {
+        keepers_.emplace_back(keeper.name());
+        transport_.learn_address(keepers_.back(), keeper.address());
+    }
+    keeper_ = random_.below(keepers_.size());
+    begin_request(clock_.now());
+}
+
+void registration::begin_request(absl::Time at)
+{
+    request_id_ = random_.next();
+    is_answered_ = false;
+    redirects_ = 0;
+    send_at_ = at;
+}
+
+void registration::tick()
+{
+    if (phase_ == phase::left || clock_.now() < send_at_)
+    {
+        return;
+    }
+    if (is_answered_)
+    {
+        begin_request(clock_.now());
+    }
+    send();
+    // The answer cancels this; without one the next keeper is asked.
+    keeper_ = (keeper_ + 1) % keepers_.size();
+    redirects_ = 0;
+}
+
+void registration::send()
+{
+    schema::envelope message;
+    auto& request = *message.mutable_keeper_request();
+    request.set_request_id(request_id_);
+    request.set_sender(name_);
+    if (phase_ == phase::registering)
+    {
+        request.mutable_register_agent()->set_name(name_);
+        request.mutable_register_agent()->set_process_nonce(process_nonce_);
+    }
+    else if (phase_ == phase::registered)
+    {
+        request.mutable_renew_agent()->set_name(name_);
+        request.mutable_renew_agent()->set_incarnation(incarnation_);
+    }
+    else
+    {
+        request.mutable_leave_agent()->set_name(name_);
+        request.mutable_leave_agent()->set_incarnation(incarnation_);
+    }
+    transport_.send(keepers_[keeper_], std::move(message));
+    send_at_ = clock_.now() + answer_deadline;
+}
+
+void registration::follow(const base::node_name& from, const std::string& hint)
+{
+    const auto it = std::find(keepers_.begin(), keepers_.end(), base::node_name(hint));
+    if (it == keepers_.end() || *it == from || redirects_ >= max_redirects)
+    {
+        send_at_ = std::min(send_at_, clock_.now() + no_leader_pause);
+        return;
+    }
+    ++redirects_;
+    keeper_ = static_cast<std::size_t>(it - keepers_.begin());
+    send();
+}
+
+registration::change registration::receive(const base::node_name& from,
+                                           const schema::keeper_reply& reply)
+{
+    if (is_answered_ || reply.request_id() != request_id_ || phase_ == phase::left)
+    {
+        return change::none;
+    }
+    if (reply.not_leader())
+    {
+        follow(from, reply.leader_hint());
+        return change::none;
+    }
+    const auto result = accept(reply);
+    if (result != change::none && result != change::expired)
+    {
+        is_answered_ = true;
+        send_at_ = clock_.now() + renew_interval;
+        // The keeper that answered is the leader, ask it first next time.
+        const auto it = std::find(keepers_.begin(), keepers_.end(), from);
+        if (it != keepers_.end())
+        {
+            keeper_ = static_cast<std::size_t>(it - keepers_.begin());
+        }
+    }
+    return result;
+}
+
+registration::change registration::accept(const schema::keeper_reply& reply)
+{
+    if (phase_ == phase::registering && reply.has_register_agent() &&
+        reply.register_agent().incarnation() != 0)
+    {
+        incarnation_ = reply.register_agent().incarnation();
+        phase_ = phase::registered;
+        return change::registered;
+    }
+    if (phase_ == phase::registered && reply.has_renew_agent())
+    {
+        if (!reply.renew_agent().expired())
+        {
+            return change::renewed;
+        }
+        register_anew();
+        return change::expired;
+    }
+    if (phase_ == phase::leaving && reply.has_leave_agent())
+    {
+        phase_ = phase::left;
+        return change::left;
+    }
+    return change::none;
+}
+
+void registration::register_anew()
+{
+    // An equal nonce would be taken for a resend and get the ended incarnation again.
+    process_nonce_ = random_.next();
+    incarnation_ = 0;
+    phase_ = phase::registering;
+    begin_request(clock_.now());
+}
+
+void registration::leave()
+{
+    if (phase_ == phase::registering)
+    {
+        // A registration that may still arrive at the keepers ends there by silence.
+        phase_ = phase::left;
+    }
+    else if (phase_ == phase::registered)
+    {
+        phase_ = phase::leaving;
+        begin_request(clock_.now());
+    }
+}
+
+} // namespace savoryreach::agent
--- /dev/null
+++ b/tests/agent/scripted_cluster.hpp
@@ -0,0 +1,107 @@
+#ifndef SAVORYREACH_AGENT_SCRIPTED_CLUSTER_HPP
+#define SAVORYREACH_AGENT_SCRIPTED_CLUSTER_HPP
+
+#include "savoryreach/agent/agent_core.hpp"
+#include "savoryreach/base/seeded_random.hpp"
+#include "savoryreach/net/session.hpp"
+#include "tests/simulation/fake_network.hpp"
+
+#include <absl/container/btree_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savoryreach::agent
+{
+
+/// An endpoint whose runs end when the test says so, or by themselves after a time.
+class scripted_endpoint final : public endpoint_port
+{
+public:
+    void run(const run_request& request) override { runs.push_back(request); }
+    void stop(std::uint64_t run_id) override { stopped.insert(run_id); }
+
+    std::vector<run_request> runs; ///< all runs ever begun
+    std::set<std::uint64_t> stopped;
+};
+
+/// Counts events by kind.
+class counting_sink final : public observe::event_sink
+{
+public:
+    void record(std::string_view kind, std::initializer_list<observe::event_field>) override
+    {
+        ++counts[std::string(kind)];
+    }
+
+    absl::btree_map<std::string, int> counts;
+};
+
+/// One entry epoch: grants leases and records what the agent sends.
+struct scripted_entry
+{
+    base::node_name name;
+    std::uint64_t epoch = 0;
+    std::uint32_t lease_ms = 2000; ///< 0: hellos are not answered
+    schema::cluster_view view;     ///< sent with each reply
+    std::unique_ptr<net::session> stream;
+    std::vector<schema::agent_hello> hellos;
+    std::vector<schema::task_result> results;
+    std::vector<schema::recall_result> recalls;
+    std::vector<schema::inquiry_reply> replies;
+    std::uint64_t credit = 0;
+};
+
+/// An agent core with scripted keeper, entries and endpoint on the fake network.
+class scripted_cluster
+{
+public:
+    explicit scripted_cluster(std::uint64_t seed = 1, std::uint32_t slots = 2);
+
+    /// Adds an entry to the keeper's view; the agent learns of it with the next view.
+    scripted_entry& add_entry(const std::string& name, std::uint64_t epoch);
+    /// Adds an entry and waits until its session is open.
+    scripted_entry& open_entry(const std::string& name, std::uint64_t epoch);
+    /// Removes an epoch from the keeper's view and lists it as fenced.
+    void fence_in_view(std::uint64_t epoch);
+
+    void send_item(scripted_entry& entry, schema::session_item item);
+    void send_start(scripted_entry& entry, const schema::task_start& start);
+    void send_recall(scripted_entry& entry, const std::string& submission, std::uint32_t task);
+    void send_inquiry(const scripted_entry& asker, std::uint64_t dead_epoch);
+    void end_run(std::size_t run,
+                 run_outcome outcome = {run_outcome::result::succeeded, "out", ""});
+
+    /// Runs everything for a time in steps of 1 ms.
+    void run_for(absl::Duration time);
+
+    simulation::virtual_clock clock;
+    base::seeded_random random;
+    simulation::fake_network network;
+    scripted_endpoint endpoint;
+    counting_sink events;
+    schema::cluster_view view; ///< of the keeper
+    std::uint64_t incarnation = 50;
+    bool expire_next_renewal = false;
+    std::vector<std::string> keeper_requests; ///< kinds, in the order of receipt
+    std::vector<std::uint64_t> nonces;
+    absl::btree_map<std::string, scripted_entry> entries; ///< by name
+    std::unique_ptr<net::transport> agent_transport;
+    std::unique_ptr<agent_core> agent;
+
+private:
+    void on_keeper_request(const base::node_name& keeper, const schema::keeper_request& request);
+    void on_entry_message(scripted_entry& entry, const schema::envelope& message);
+    void on_session_item(scripted_entry& entry, const schema::session_item& item);
+    void step();
+};
+
+schema::task_start make_start(const std::string& submission, std::uint32_t task = 0,
+                              std::uint32_t attempt = 0);
+
+} // namespace savoryreach::agent
+
+#endif
--- a/tests/agent/sources.cmake
+++ b/tests/agent/sources.cmake
@@ -1,1 +1,5 @@
 # Tests of this folder.
+savoryreach_test(agent_test
+  agent/agent_core_test.cpp
+  agent/scripted_cluster.cpp
+  agent/temporary_credit_allocator.cpp)
