--- /dev/null
+++ b/savoryreach/agent/credit_allocator.cpp
@@ -0,0 +1,177 @@
+#include "savoryreach/agent/credit_allocator.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryreach::agent
+{
+namespace
+{
+
+/// The additional credit that one session asks for in one division.
+struct claim_on_credit
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t floor = 0; ///< granted outside of the division
+    std::uint64_t wanted = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t remainder = 0; ///< of the proportional division
+};
+
+/// Divides \p available in proportion to `wanted` by largest remainder; ties go to lower epochs.
+void divide(std::uint64_t available, std::vector<claim_on_credit>& claims)
+{
+    std::uint64_t total = 0;
+    for (const auto& it : claims)
+    {
+        total += it.wanted;
+    }
+    if (total <= available)
+    {
+        for (auto& it : claims)
+        {
+            it.granted = it.wanted;
+        }
+        return;
+    }
+    std::uint64_t left = available;
+    for (auto& it : claims)
+    {
+        it.granted = available * it.wanted / total;
+        it.remainder = available * it.wanted % total;
+        left -= it.granted;
+    }
+    std::stable_sort(claims.begin(), claims.end(),
+                     [](const claim_on_credit& a, const claim_on_credit& b)
+                     { return a.remainder > b.remainder; });
+    assert(left <= claims.size());
+    for (std::uint64_t i = 0; i < left; ++i)
+    {
+        ++claims[i].granted;
+    }
+}
+
+} // namespace
+
+credit_allocator::credit_allocator(std::uint32_t slots, std::uint32_t prefetch)
+    : slots_(slots), prefetch_(prefetch)
+{
+}
+
+void credit_allocator::session_opened(std::uint64_t epoch)
+{
+    session& s = sessions_[epoch];
+    s = session{0, 0, s.unfinished, 0, true};
+}
+
+void credit_allocator::session_closed(std::uint64_t epoch)
+{
+    const auto it = sessions_.find(epoch);
+    if (it == sessions_.end())
+    {
+        return;
+    }
+    it->second = session{0, 0, it->second.unfinished, 0, false};
+    if (it->second.unfinished == 0)
+    {
+        sessions_.erase(it);
+    }
+}
+
+void credit_allocator::set_demand(std::uint64_t epoch, std::uint32_t waiting)
+{
+    const auto it = sessions_.find(epoch);
+    if (it != sessions_.end() && it->second.open)
+    {
+        it->second.demand = waiting;
+    }
+}
+
+void credit_allocator::start_received(std::uint64_t epoch)
+{
+    const auto it = sessions_.find(epoch);
+    if (it == sessions_.end() || !it->second.open)
+    {
+        return;
+    }
+    session& s = it->second;
+    ++s.received;
+    ++s.unfinished;
+    // The task no longer waits at the entry; the next report confirms it.
+    if (s.demand > 0)
+    {
+        --s.demand;
+    }
+}
+
+void credit_allocator::start_ended(std::uint64_t epoch)
+{
+    const auto it = sessions_.find(epoch);
+    if (it == sessions_.end())
+    {
+        return;
+    }
+    session& s = it->second;
+    if (s.unfinished > 0)
+    {
+        --s.unfinished;
+    }
+    if (!s.open && s.unfinished == 0)
+    {
+        sessions_.erase(it);
+    }
+}
+
+void credit_allocator::set_draining(bool draining)
+{
+    draining_ = draining;
+}
+
+std::vector<credit_change> credit_allocator::rebalance()
+{
+    if (draining_)
+    {
+        return {};
+    }
+    const auto open = std::count_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& it) { return it.second.open; });
+    const bool has_floor = open <= static_cast<std::ptrdiff_t>(slots_);
+    std::uint64_t committed = 0;
+    std::vector<claim_on_credit> claims;
+    for (const auto& [epoch, s] : sessions_)
+    {
+        claim_on_credit claim;
+        claim.epoch = epoch;
+        std::uint64_t unused = s.limit > s.received ? s.limit - s.received : 0;
+        if (has_floor && s.open && s.unfinished == 0)
+        {
+            // One unused credit of an idle session is its floor and takes nothing from the others.
+            claim.floor = unused == 0 ? 1 : 0;
+            unused += claim.floor;
+            committed += unused - 1;
+        }
+        else
+        {
+            committed += unused + s.unfinished;
+        }
+        claim.wanted = s.demand > unused ? s.demand - unused : 0;
+        claims.push_back(claim);
+    }
+    const std::uint64_t capacity = std::uint64_t{slots_} + prefetch_;
+    divide(capacity > committed ? capacity - committed : 0, claims);
+    std::sort(claims.begin(), claims.end(),
+              [](const auto& a, const auto& b) { return a.epoch < b.epoch; });
+    std::vector<credit_change> changes;
+    for (const auto& it : claims)
+    {
+        if (it.floor + it.granted > 0)
+        {
+            session& s = sessions_[it.epoch];
+            s.limit += it.floor + it.granted;
+            changes.push_back({it.epoch, s.limit});
+        }
+    }
+    return changes;
+}
+
+} // namespace savoryreach::agent
--- a/savoryreach/agent/credit_allocator.hpp
+++ b/savoryreach/agent/credit_allocator.hpp
@@ -28,7 +28,8 @@
     credit_allocator(std::uint32_t slots, std::uint32_t prefetch);
 
     void session_opened(std::uint64_t epoch);
-    /// Takes back all unused credit of the session.
+    /// Takes back all unused credit of the session. Its unfinished starts still occupy slots until
+    /// start_ended() has been called for each of them.
     void session_closed(std::uint64_t epoch);
     void set_demand(std::uint64_t epoch, std::uint32_t waiting);
 
@@ -49,6 +50,7 @@
         std::uint64_t received = 0;   ///< starts received since the session began
         std::uint32_t unfinished = 0; ///< starts received that have not ended
         std::uint32_t demand = 0;     ///< tasks waiting at the entry
+        bool open = false;            ///< a closed session is kept while it has unfinished starts
     };
 
     std::uint32_t slots_;                              ///< starts that run at once
--- a/savoryreach/agent/sources.cmake
+++ b/savoryreach/agent/sources.cmake
@@ -1,1 +1,2 @@
-target_sources(savoryreach PRIVATE)
+target_sources(savoryreach PRIVATE
+  agent/credit_allocator.cpp)
--- /dev/null
+++ b/savoryreach/entry/endpoint_standing.cpp
@@ -0,0 +1,293 @@
+#include "savoryreach/entry/endpoint_standing.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+/// Failures of this many different jobs without a success set an endpoint aside.
+constexpr double evidence_limit = 3;
+/// A further failure of the same job counts this much once the job has proved itself elsewhere, so
+/// that a single large job detects a failing endpoint after 9 failures.
+constexpr double repeated_weight = 0.25;
+/// Successes on so many endpoints prove that a job is not the cause of its failures.
+constexpr std::size_t proof_endpoints = 3;
+/// Bounds of the records kept for one job, one endpoint and all jobs.
+constexpr std::size_t max_endpoints_per_job = 16;
+constexpr std::size_t max_suspicions = 8;
+constexpr std::size_t max_jobs = 4096;
+
+constexpr absl::Duration first_backoff = absl::Seconds(1);
+constexpr absl::Duration max_backoff = absl::Seconds(60);
+/// A probe without a result is repeated after this time.
+constexpr absl::Duration probe_timeout = absl::Seconds(60);
+/// An endpoint without credit or of another kind is examined again after this time.
+constexpr absl::Duration probe_recheck = absl::Milliseconds(100);
+/// Successes in a row that reset the backoff.
+constexpr std::uint32_t reset_successes = 20;
+/// Due endpoints examined for one start.
+constexpr int probes_examined = 4;
+
+template <typename List, typename Value>
+bool contains(const List& list, const Value& value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+} // namespace
+
+void endpoint_standing::joined(id endpoint)
+{
+    if (endpoint >= records_.size())
+    {
+        records_.resize(endpoint + 1);
+    }
+    left(endpoint);
+}
+
+void endpoint_standing::left(id endpoint)
+{
+    due_.erase({records_[endpoint].due, endpoint});
+    records_[endpoint] = record{};
+}
+
+endpoint_standing::job_record& endpoint_standing::job_at(std::uint64_t job)
+{
+    const auto [it, added] = jobs_.try_emplace(job);
+    if (!added)
+    {
+        return it->second;
+    }
+    job_order_.push_back(job);
+    if (job_order_.size() > max_jobs)
+    {
+        jobs_.erase(job_order_.front());
+        job_order_.pop_front();
+    }
+    return jobs_[job];
+}
+
+void endpoint_standing::update_penalty(record& record) const
+{
+    int jobs = 0;
+    for (const suspicion& it : record.suspicions)
+    {
+        jobs += it.counts ? 1 : 0;
+    }
+    record.penalty = std::exp2(jobs);
+}
+
+void endpoint_standing::set_counts(id endpoint, std::uint64_t job, bool counts)
+{
+    record& r = records_[endpoint];
+    for (suspicion& it : r.suspicions)
+    {
+        if (it.job == job)
+        {
+            it.counts = counts;
+        }
+    }
+    update_penalty(r);
+}
+
+void endpoint_standing::set_due(id endpoint, absl::Time due)
+{
+    record& r = records_[endpoint];
+    due_.erase({r.due, endpoint});
+    r.due = due;
+    due_.emplace(due, endpoint);
+}
+
+void endpoint_standing::readmit(id endpoint)
+{
+    record& r = records_[endpoint];
+    due_.erase({r.due, endpoint});
+    r.set_aside = false;
+    r.probing = false;
+    r.successes = 0;
+    r.suspicions.clear();
+    update_penalty(r);
+}
+
+void endpoint_standing::evaluate(id endpoint, absl::Time now,
+                                 absl::FunctionRef<bool(id)> may_set_aside)
+{
+    record& r = records_[endpoint];
+    if (r.set_aside)
+    {
+        return;
+    }
+    double evidence = 0;
+    for (const suspicion& it : r.suspicions)
+    {
+        evidence += it.counts ? it.weight : 0;
+    }
+    if (evidence < evidence_limit || !may_set_aside(endpoint))
+    {
+        return;
+    }
+    r.set_aside = true;
+    r.probing = false;
+    r.backoff = std::clamp(2 * r.backoff, first_backoff, max_backoff);
+    set_due(endpoint, now + r.backoff);
+}
+
+endpoint_standing::id_list endpoint_standing::succeeded(id endpoint, std::uint64_t job,
+                                                        absl::Time now,
+                                                        absl::FunctionRef<bool(id)> may_set_aside)
+{
+    id_list changed;
+    record& r = records_[endpoint];
+    r.successes = std::min(r.successes + 1, reset_successes);
+    if (r.set_aside && r.probing)
+    {
+        readmit(endpoint);
+        changed.push_back(endpoint);
+    }
+    else if (!r.suspicions.empty() && !r.set_aside)
+    {
+        r.suspicions.clear();
+        update_penalty(r);
+        changed.push_back(endpoint);
+    }
+    if (r.successes == reset_successes && !r.set_aside)
+    {
+        r.backoff = absl::ZeroDuration();
+    }
+
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end())
+    {
+        return changed;
+    }
+    job_record& j = it->second;
+    const bool first_success = j.succeeded_on.empty();
+    if (j.succeeded_on.size() < max_endpoints_per_job && !contains(j.succeeded_on, endpoint))
+    {
+        j.succeeded_on.push_back(endpoint);
+    }
+    if (first_success)
+    {
+        // The job can succeed, so its earlier failures count again.
+        for (const id other : j.failed_on)
+        {
+            set_counts(other, job, true);
+            evaluate(other, now, may_set_aside);
+            changed.push_back(other);
+        }
+    }
+    return changed;
+}
+
+void endpoint_standing::note_failure(id endpoint, std::uint64_t job, job_record& j)
+{
+    record& r = records_[endpoint];
+    const auto known = std::find_if(r.suspicions.begin(), r.suspicions.end(),
+                                    [job](const suspicion& it) { return it.job == job; });
+    if (known == r.suspicions.end())
+    {
+        if (r.suspicions.size() < max_suspicions)
+        {
+            r.suspicions.push_back({job, 1, true});
+        }
+        return;
+    }
+    const bool proved = j.succeeded_on.size() >= proof_endpoints &&
+                        2 * j.failed_on.size() <= j.succeeded_on.size() + 1;
+    if (proved)
+    {
+        known->weight += repeated_weight;
+    }
+}
+
+endpoint_standing::id_list endpoint_standing::failed(id endpoint, std::uint64_t job, absl::Time now,
+                                                     absl::FunctionRef<bool(id)> may_set_aside)
+{
+    id_list changed{endpoint};
+    job_record& j = job_at(job);
+    record& r = records_[endpoint];
+    r.successes = 0;
+    if (j.failed_on.size() < max_endpoints_per_job && !contains(j.failed_on, endpoint))
+    {
+        j.failed_on.push_back(endpoint);
+    }
+    const bool job_is_suspect = j.failed_on.size() >= 2 && j.succeeded_on.empty();
+    if (r.set_aside)
+    {
+        if (r.probing)
+        {
+            r.probing = false;
+            if (!job_is_suspect)
+            {
+                r.backoff = std::min(2 * r.backoff, max_backoff);
+            }
+            set_due(endpoint, now + r.backoff);
+        }
+        return changed;
+    }
+    note_failure(endpoint, job, j);
+    if (job_is_suspect)
+    {
+        changed.assign(j.failed_on.begin(), j.failed_on.end());
+        changed.push_back(endpoint);
+        for (const id other : changed)
+        {
+            set_counts(other, job, false);
+        }
+        return changed;
+    }
+    update_penalty(r);
+    evaluate(endpoint, now, may_set_aside);
+    return changed;
+}
+
+void endpoint_standing::not_started(id endpoint, absl::Time now)
+{
+    record& r = records_[endpoint];
+    if (r.set_aside && r.probing)
+    {
+        r.probing = false;
+        set_due(endpoint, now + probe_recheck);
+    }
+}
+
+std::optional<endpoint_standing::id>
+endpoint_standing::find_probe(absl::Time now, absl::FunctionRef<bool(id)> is_usable)
+{
+    for (int i = 0; i < probes_examined && !due_.empty(); ++i)
+    {
+        const auto [due, endpoint] = *due_.begin();
+        if (due > now)
+        {
+            break;
+        }
+        if (is_usable(endpoint))
+        {
+            return endpoint;
+        }
+        set_due(endpoint, now + probe_recheck);
+    }
+    return std::nullopt;
+}
+
+void endpoint_standing::probe_started(id endpoint, absl::Time now)
+{
+    records_[endpoint].probing = true;
+    set_due(endpoint, now + probe_timeout);
+}
+
+std::optional<endpoint_standing::id> endpoint_standing::readmit_first()
+{
+    if (due_.empty())
+    {
+        return std::nullopt;
+    }
+    const id endpoint = due_.begin()->second;
+    readmit(endpoint);
+    return endpoint;
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/placement_state.cpp
@@ -0,0 +1,306 @@
+#include "savoryreach/entry/placement_state.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+/// Best-ranked endpoints examined in each data centre.
+constexpr int candidates_examined = 4;
+/// A probe may fail a real task, so at most one start in 20 is a probe: half of the default retry
+/// budget of 10 %.
+constexpr std::uint32_t starts_per_probe = 20;
+/// A start now must take this many times as long as waiting before the task waits; below that the
+/// error of the estimates decides.
+constexpr double wait_advantage = 1.5;
+
+double seconds(absl::Duration value)
+{
+    return absl::ToDoubleSeconds(value);
+}
+
+} // namespace
+
+placement::state::state()
+{
+    kinds.emplace_back();
+}
+
+std::uint32_t placement::state::kind_of(const std::string& name)
+{
+    const auto [it, added] = kind_index.try_emplace(name, static_cast<std::uint32_t>(kinds.size()));
+    if (added)
+    {
+        const std::uint32_t kind = it->second;
+        kinds.emplace_back().name = name;
+        for (id i = 0; i < endpoints.size(); ++i)
+        {
+            if (endpoints[i].present && endpoints[i].accepts_all)
+            {
+                count(i, kind, 1);
+                rerank(i, kind);
+            }
+        }
+        return kind;
+    }
+    return it->second;
+}
+
+std::uint32_t placement::state::find_kind(const std::string& name) const
+{
+    const auto it = kind_index.find(name);
+    return it == kind_index.end() ? 0 : it->second;
+}
+
+std::uint32_t placement::state::data_centre_of(const std::string& name)
+{
+    const auto [it, added] =
+        data_centre_index.try_emplace(name, static_cast<std::uint32_t>(delays.size()));
+    if (added)
+    {
+        delays.push_back(absl::ZeroDuration());
+    }
+    return it->second;
+}
+
+std::optional<placement::state::id> placement::state::find(const base::node_name& agent) const
+{
+    const auto it = endpoint_index.find(agent);
+    if (it == endpoint_index.end() || !endpoints[it->second].present)
+    {
+        return std::nullopt;
+    }
+    return it->second;
+}
+
+bool placement::state::accepts(const endpoint& e, std::uint32_t kind) const
+{
+    return e.accepts_all || (kind < e.accepts.size() && e.accepts[kind]);
+}
+
+void placement::state::count(id endpoint, std::uint32_t kind, int sign)
+{
+    const auto& e = endpoints[endpoint];
+    if (!accepts(e, kind))
+    {
+        return;
+    }
+    auto& k = kinds[kind];
+    k.endpoints += sign;
+    if (e.counted_aside)
+    {
+        k.set_aside += sign;
+    }
+    else
+    {
+        k.usable_slots += sign * static_cast<int>(e.slots);
+    }
+}
+
+void placement::state::count_all(id endpoint, int sign)
+{
+    for (std::uint32_t kind = 0; kind < kinds.size(); ++kind)
+    {
+        count(endpoint, kind, sign);
+    }
+}
+
+double placement::state::load_factor(id endpoint) const
+{
+    const auto& e = endpoints[endpoint];
+    if (e.in_flight < e.slots || e.slots == 0)
+    {
+        return 1;
+    }
+    return 1 + static_cast<double>(e.in_flight + 1 - e.slots) / e.slots;
+}
+
+void placement::state::rerank(id endpoint, std::uint32_t kind)
+{
+    const auto& e = endpoints[endpoint];
+    auto& estimates = kinds[kind].estimates;
+    if (e.present && e.credit > 0 && accepts(e, kind) && !standing.is_set_aside(endpoint))
+    {
+        estimates.list(endpoint, e.data_centre, load_factor(endpoint) * standing.penalty(endpoint));
+    }
+    else
+    {
+        estimates.unlist(endpoint);
+    }
+}
+
+void placement::state::rerank_all(id endpoint)
+{
+    for (std::uint32_t kind = 0; kind < kinds.size(); ++kind)
+    {
+        rerank(endpoint, kind);
+    }
+}
+
+void placement::state::refresh(id endpoint)
+{
+    auto& e = endpoints[endpoint];
+    if (!e.present)
+    {
+        return;
+    }
+    if (e.counted_aside != standing.is_set_aside(endpoint))
+    {
+        count_all(endpoint, -1);
+        e.counted_aside = !e.counted_aside;
+        count_all(endpoint, 1);
+    }
+    rerank_all(endpoint);
+}
+
+bool placement::state::may_set_aside(id endpoint) const
+{
+    const std::uint64_t aside = standing.set_aside_count() + 1;
+    if (100 * aside > std::uint64_t{max_set_aside} * present)
+    {
+        return false;
+    }
+    // The bound also holds for each kind, so that no kind loses all of its endpoints.
+    for (std::uint32_t kind = 1; kind < kinds.size(); ++kind)
+    {
+        const auto& k = kinds[kind];
+        if (accepts(endpoints[endpoint], kind) &&
+            100 * (std::uint64_t{k.set_aside} + 1) > std::uint64_t{max_set_aside} * k.endpoints)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void placement::state::limit_set_aside()
+{
+    while (100 * standing.set_aside_count() > std::uint64_t{max_set_aside} * present)
+    {
+        const auto readmitted = standing.readmit_first();
+        assert(readmitted.has_value());
+        refresh(*readmitted);
+    }
+}
+
+double placement::state::delay_to(const placement_request& request, std::uint32_t data_centre) const
+{
+    double delay = seconds(delays[data_centre]);
+    const auto preferred = data_centre_index.find(request.locality);
+    if (!request.locality.empty() && preferred != data_centre_index.end() &&
+        preferred->second != data_centre)
+    {
+        // Upper bound of the delay between the two, by way of this entry.
+        delay += seconds(delays[preferred->second]) + seconds(delays[data_centre]);
+    }
+    return delay;
+}
+
+std::optional<placement::state::id> placement::state::find_best(const placement_request& request,
+                                                                std::uint32_t kind) const
+{
+    const kind_estimates& estimates = kinds[kind].estimates;
+    const double declared = seconds(request.declared_run);
+    std::optional<id> best;
+    double best_time = std::numeric_limits<double>::infinity();
+    for (std::uint32_t dc = 0; dc < estimates.rankings().size(); ++dc)
+    {
+        const double delay = delay_to(request, dc);
+        int examined = 0;
+        for (const auto& position : estimates.rankings()[dc])
+        {
+            const auto& failed = request.failed_here;
+            if (!failed.empty() && std::find(failed.begin(), failed.end(),
+                                             endpoints[position.endpoint].agent) != failed.end())
+            {
+                continue;
+            }
+            const double time = delay + estimates.expected_at(position.endpoint, declared) *
+                                            load_factor(position.endpoint) *
+                                            standing.penalty(position.endpoint);
+            if (time < best_time)
+            {
+                best = position.endpoint;
+                best_time = time;
+            }
+            if (++examined == candidates_examined)
+            {
+                break;
+            }
+        }
+    }
+    if (best && estimates.completion_by_waiting(request.waiting_tasks, best_time / wait_advantage) <
+                    best_time)
+    {
+        return std::nullopt;
+    }
+    return best;
+}
+
+std::optional<placement::state::id> placement::state::find_probe(const placement_request& request,
+                                                                 std::uint32_t kind, absl::Time now)
+{
+    if (standing.set_aside_count() == 0 || starts_since_probe < starts_per_probe)
+    {
+        return std::nullopt;
+    }
+    const auto is_usable = [&](id candidate)
+    {
+        const auto& e = endpoints[candidate];
+        return e.credit > 0 && accepts(e, kind) &&
+               std::find(request.failed_here.begin(), request.failed_here.end(), e.agent) ==
+                   request.failed_here.end();
+    };
+    const auto found = standing.find_probe(now, is_usable);
+    if (found)
+    {
+        standing.probe_started(*found, now);
+        starts_since_probe = 0;
+    }
+    return found;
+}
+
+void placement::state::start(id endpoint, std::uint32_t kind)
+{
+    auto& e = endpoints[endpoint];
+    assert(e.credit > 0);
+    --e.credit;
+    ++e.in_flight;
+    ++starts_since_probe;
+    kinds[kind].estimates.start(endpoint);
+    // The other kinds see the change only when the endpoint runs out of credit or of free slots.
+    if (e.credit == 0 || e.in_flight >= e.slots)
+    {
+        rerank_all(endpoint);
+    }
+    else
+    {
+        rerank(endpoint, kind);
+    }
+}
+
+void placement::state::age_one(absl::Time now)
+{
+    if (endpoints.empty())
+    {
+        return;
+    }
+    ageing_next = ageing_next + 1 < endpoints.size() ? ageing_next + 1 : 0;
+    if (!endpoints[ageing_next].present)
+    {
+        return;
+    }
+    for (std::uint32_t kind = 1; kind < kinds.size(); ++kind)
+    {
+        if (kinds[kind].estimates.age(ageing_next, now))
+        {
+            rerank(ageing_next, kind);
+        }
+    }
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/retry_budget.cpp
@@ -0,0 +1,43 @@
+#include "savoryreach/entry/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+/// Retries that a kind may make before its first starts are counted.
+constexpr double initial_retries = 10;
+/// Bound on saved retries; covers the tasks in flight on the endpoints of a lost rack.
+constexpr double max_saved_retries = 1000;
+
+} // namespace
+
+void retry_budget::set_percent(std::uint32_t percent)
+{
+    percent_ = percent;
+}
+
+void retry_budget::count_start(const std::string& kind)
+{
+    double& left = remaining_.try_emplace(kind, initial_retries).first->second;
+    left = std::min(max_saved_retries, left + percent_ / 100.0);
+}
+
+bool retry_budget::try_take(const std::string& kind)
+{
+    if (percent_ == 0)
+    {
+        return false;
+    }
+    double& left = remaining_.try_emplace(kind, initial_retries).first->second;
+    if (left < 1)
+    {
+        return false;
+    }
+    left -= 1;
+    return true;
+}
+
+} // namespace savoryreach::entry
