Add the entry core

Cause: the entry process had an interface and no decisions behind it. Change: routing, keeper requests, claims, membership, jobs, agents, dispatch, results, recovery, forwarding and their wiring in small classes.

--- /dev/null
+++ b/savoryreach/entry/agent_link.hpp
@@ -0,0 +1,76 @@
+#ifndef SAVORYREACH_ENTRY_AGENT_LINK_HPP
+#define SAVORYREACH_ENTRY_AGENT_LINK_HPP
+
+#include "savoryreach/entry/job.hpp"
+#include "savoryreach/entry/placement.hpp"
+#include "savoryreach/net/session.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace savoryreach::entry
+{
+
+/// Whether an agent can be given work.
+enum class link_phase
+{
+    live,
+    suspected, ///< silent for two heartbeats; gets no new starts
+    lost,      ///< its session lease and the stop time are over: nothing it was sent still runs
+};
+
+/// What this entry knows about one incarnation of an agent: its session, credit and tasks.
+class agent_link
+{
+public:
+    agent_link(agent_life life_, std::uint64_t epoch)
+        : life(std::move(life_)), session(epoch, life.incarnation)
+    {
+    }
+
+    /// Starts that may still be sent.
+    [[nodiscard]] std::uint32_t credit() const
+    {
+        const bool is_usable = phase == link_phase::live && !is_draining && !is_superseded;
+        return is_usable && credit_limit > sent ? static_cast<std::uint32_t>(credit_limit - sent)
+                                                : 0;
+    }
+
+    /// True when the agent's messages arrive and nothing that is sent to it does.
+    [[nodiscard]] bool is_stalled(absl::Time now) const
+    {
+        return session.unacknowledged() > 0 && acknowledged_at + max_unacknowledged <= now;
+    }
+
+    /// A session resends several times within this time; equal to the session lease.
+    static constexpr absl::Duration max_unacknowledged = absl::Seconds(2);
+
+    /// Tasks at the agent, with the number of the attempt.
+    using task_key = std::pair<job_number, std::uint32_t>;
+
+    const agent_life life; ///< of the agent
+    net::session session;  ///< lives as long as the incarnation may come back
+    endpoint_facts facts;  ///< as last announced
+    link_phase phase = link_phase::live;
+    bool is_draining = false;                    ///< announced by the agent
+    bool is_superseded = false;                  ///< a newer incarnation has announced itself
+    std::uint64_t credit_limit = 0;              ///< starts allowed since the session began
+    std::uint64_t sent = 0;                      ///< starts sent since the session began
+    absl::Time heard_at;                         ///< of the last message
+    absl::Time acknowledged_at;                  ///< when the session last had nothing overdue
+    absl::Time lease_until;                      ///< latest end of any session lease granted
+    std::uint64_t config_revision = 0;           ///< as last announced
+    std::uint64_t members_sent = 0;              ///< membership revision in the last reply
+    std::uint32_t replies = 0;                   ///< since members were last sent
+    std::uint32_t reported_demand = 0;           ///< as the agent knows it
+    absl::Time demand_at = absl::InfinitePast(); ///< when it was reported
+    absl::btree_map<task_key, std::uint32_t> in_flight; ///< attempt numbers
+};
+
+} // namespace savoryreach::entry
+
+#endif
--- /dev/null
+++ b/savoryreach/entry/agent_table.cpp
@@ -0,0 +1,342 @@
+#include "savoryreach/entry/agent_table.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace savoryreach::entry
+{
+
+agent_table::agent_table(entry_context& context, membership& members, placement& endpoints,
+                         hooks call)
+    : context_(context), members_(members), endpoints_(endpoints), call_(std::move(call))
+{
+}
+
+void agent_table::clear()
+{
+    for (const auto& [name, link] : current_)
+    {
+        endpoints_.endpoint_left(name);
+    }
+    current_.clear();
+    links_.clear();
+    dirty_.clear();
+}
+
+agent_link* agent_table::find(const base::node_name& agent)
+{
+    const auto it = current_.find(agent);
+    return it != current_.end() ? it->second : nullptr;
+}
+
+agent_link* agent_table::find(const agent_life& life)
+{
+    const auto it = links_.find(life);
+    return it != links_.end() ? it->second.get() : nullptr;
+}
+
+bool agent_table::accept_incarnation(const base::node_name& from,
+                                     const schema::agent_hello& message)
+{
+    auto* known = find(from);
+    if (known != nullptr && known->life.incarnation == message.incarnation())
+    {
+        return true;
+    }
+    const bool is_older = known != nullptr && known->life.incarnation > message.incarnation();
+    if (is_older || message.incarnation() == 0 || links_.size() >= max_agents)
+    {
+        return false;
+    }
+    if (known != nullptr)
+    {
+        supersede(*known);
+    }
+    auto link =
+        std::make_unique<agent_link>(agent_life{from, message.incarnation()}, members_.epoch());
+    current_[from] = link.get();
+    links_[link->life] = std::move(link);
+    context_.ports.events.record(
+        "agent_joined",
+        {{"peer", from.value()}, {"incarnation", absl::StrCat(message.incarnation())}});
+    return true;
+}
+
+void agent_table::supersede(agent_link& link)
+{
+    link.is_superseded = true;
+    endpoints_.endpoint_left(link.life.name);
+    if (link.phase == link_phase::lost)
+    {
+        links_.erase(agent_life(link.life));
+    }
+}
+
+void agent_table::hello(const base::node_name& from, const schema::agent_hello& message)
+{
+    if (members_.epoch() == 0 || from.value() != message.agent() ||
+        !accept_incarnation(from, message))
+    {
+        return;
+    }
+    auto& link = *find(from);
+    learn(link, message);
+    const bool is_stalled = link.is_stalled(context_.now());
+    if (!is_stalled)
+    {
+        link.heard_at = context_.now();
+    }
+    if ((link.phase == link_phase::suspected && !is_stalled) ||
+        (link.phase == link_phase::lost && link.session.unacknowledged() == 0))
+    {
+        set_phase(link, link_phase::live);
+    }
+    update_credit(link);
+    reply(link, message);
+}
+
+void agent_table::learn(agent_link& link, const schema::agent_hello& message)
+{
+    endpoint_facts facts;
+    facts.agent = link.life.name;
+    facts.data_centre = message.data_centre();
+    facts.slots = message.slots();
+    facts.kinds.assign(message.kinds().begin(), message.kinds().end());
+    const bool is_same = facts.slots == link.facts.slots && facts.kinds == link.facts.kinds &&
+                         facts.data_centre == link.facts.data_centre;
+    if (!is_same || link.facts.agent.empty())
+    {
+        link.facts = std::move(facts);
+        endpoints_.endpoint_joined(link.facts);
+    }
+    link.is_draining = message.draining();
+    link.config_revision = message.config_revision();
+    for (const auto& it : message.counters())
+    {
+        endpoints_.learn_counters(link.life.name, it.kind(), it.succeeded(), it.failed(),
+                                  absl::Microseconds(it.run_us_total()));
+    }
+}
+
+void agent_table::reply(agent_link& link, const schema::agent_hello& message)
+{
+    const auto now = context_.now();
+    schema::envelope envelope;
+    auto& body = *envelope.mutable_agent_hello_reply();
+    body.set_entry(context_.self.value());
+    body.set_epoch(members_.epoch());
+    body.set_incarnation(link.life.incarnation);
+    body.set_request_id(message.request_id());
+    // A lost agent gets no lease until it has taken all starts that were queued before the loss:
+    // without a lease it discards them, and their tasks may run elsewhere by now.
+    if (members_.has_lease() && link.phase == link_phase::live)
+    {
+        const auto lease = std::min(session_lease, members_.lease_until() - now);
+        body.set_lease_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(lease)));
+        link.lease_until = std::max(link.lease_until, now + lease);
+    }
+    const bool with_members =
+        link.members_sent != members_.membership_revision() || ++link.replies >= members_every;
+    if (with_members)
+    {
+        link.members_sent = members_.membership_revision();
+        link.replies = 0;
+    }
+    *body.mutable_view() = members_.view_for(link.config_revision, with_members);
+    link.reported_demand = call_.demand(link.facts.kinds);
+    body.set_demand(link.reported_demand);
+    body.set_draining(members_.is_leaving());
+    context_.send(link.life.name, std::move(envelope));
+}
+
+void agent_table::frame(const base::node_name& from, const schema::session_frame& frame)
+{
+    auto* link = find(agent_life{from, frame.incarnation()});
+    if (link == nullptr || frame.epoch() != link->session.epoch())
+    {
+        return;
+    }
+    dirty_.insert(link->life);
+    link->acknowledged_at = context_.now();
+    for (const auto& item : link->session.receive(frame, context_.now()))
+    {
+        if (item.has_credit())
+        {
+            link->credit_limit = std::max(link->credit_limit, item.credit().limit());
+            update_credit(*link);
+        }
+        else
+        {
+            call_.item(*link, item);
+        }
+    }
+}
+
+void agent_table::update_credit(agent_link& link)
+{
+    if (!link.is_superseded)
+    {
+        endpoints_.set_credit(link.life.name, link.credit());
+    }
+}
+
+void agent_table::set_phase(agent_link& link, link_phase phase)
+{
+    const bool was_lost = link.phase == link_phase::lost;
+    link.phase = phase;
+    if (link.is_superseded)
+    {
+        return;
+    }
+    if (phase == link_phase::lost)
+    {
+        endpoints_.endpoint_left(link.life.name);
+    }
+    else if (was_lost)
+    {
+        endpoints_.endpoint_joined(link.facts);
+    }
+    update_credit(link);
+}
+
+void agent_table::check(agent_link& link, absl::Time now)
+{
+    if (link.phase == link_phase::live && link.heard_at + suspicion <= now)
+    {
+        context_.ports.events.record("agent_suspected", {{"peer", link.life.name.value()}});
+        set_phase(link, link_phase::suspected);
+    }
+    const bool is_over = std::max(link.lease_until, link.heard_at) + stop_time <= now;
+    if (link.phase == link_phase::suspected && is_over)
+    {
+        context_.ports.events.record("agent_lost", {{"peer", link.life.name.value()}});
+        set_phase(link, link_phase::lost);
+        call_.lost(link);
+    }
+}
+
+void agent_table::tick()
+{
+    const auto now = context_.now();
+    for (auto& [life, link] : links_)
+    {
+        check(*link, now);
+    }
+    absl::erase_if(links_, [](const auto& it)
+                   { return it.second->is_superseded && it.second->phase == link_phase::lost; });
+}
+
+void agent_table::push(agent_link& link, schema::session_item item)
+{
+    if (link.session.unacknowledged() == 0)
+    {
+        link.acknowledged_at = context_.now();
+    }
+    link.session.push(std::move(item));
+    dirty_.insert(link.life);
+}
+
+void agent_table::report_demand(agent_link& link, absl::Time now)
+{
+    if (link.phase != link_phase::live || link.demand_at + demand_interval > now)
+    {
+        return;
+    }
+    const auto demand = call_.demand(link.facts.kinds);
+    const auto known = link.reported_demand;
+    // A report costs a message: an agent whose credit is not used up needs none.
+    const bool is_needed = demand > 0 && link.credit() == 0 && (known == 0 || demand >= 2 * known);
+    const bool is_over = demand == 0 && known > 0;
+    if (is_needed || is_over)
+    {
+        schema::session_item item;
+        item.mutable_demand()->set_waiting(demand);
+        link.reported_demand = demand;
+        link.demand_at = now;
+        push(link, std::move(item));
+    }
+}
+
+void agent_table::send_frames(agent_link& link, absl::Time now)
+{
+    while (auto frame = link.session.poll(now))
+    {
+        schema::envelope envelope;
+        *envelope.mutable_session() = std::move(*frame);
+        context_.send(link.life.name, std::move(envelope));
+    }
+}
+
+void agent_table::flush()
+{
+    const auto now = context_.now();
+    if (now >= poll_at_)
+    {
+        poll_at_ = now + poll_interval;
+        for (auto& [life, link] : links_)
+        {
+            report_demand(*link, now);
+            send_frames(*link, now);
+        }
+        dirty_.clear();
+        return;
+    }
+    for (const auto& it : std::exchange(dirty_, {}))
+    {
+        if (auto* link = find(it))
+        {
+            send_frames(*link, now);
+        }
+    }
+}
+
+bool agent_table::accepts(const std::string& kind) const
+{
+    const auto is_accepted = [&kind](const auto& it)
+    {
+        const auto& kinds = it.second->facts.kinds;
+        return kinds.empty() || std::ranges::find(kinds, kind) != kinds.end();
+    };
+    return std::ranges::any_of(current_, is_accepted);
+}
+
+std::size_t agent_table::live_agents() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        current_, [](const auto& it) { return it.second->phase == link_phase::live; }));
+}
+
+membership::agent_progress agent_table::progress() const
+{
+    membership::agent_progress progress{members_.config_revision(), 0};
+    for (const auto& [name, link] : current_)
+    {
+        if (link->phase != link_phase::lost && link->config_revision < members_.config_revision())
+        {
+            progress.slowest_revision = std::min(progress.slowest_revision, link->config_revision);
+            ++progress.lagging;
+        }
+    }
+    return progress;
+}
+
+void agent_table::for_each(const std::function<void(agent_link&)>& visit)
+{
+    for (auto& [life, link] : links_)
+    {
+        visit(*link);
+    }
+}
+
+void agent_table::for_each(const std::function<void(const agent_link&)>& visit) const
+{
+    for (const auto& [life, link] : links_)
+    {
+        visit(*link);
+    }
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/answers.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYREACH_ENTRY_ANSWERS_HPP
+#define SAVORYREACH_ENTRY_ANSWERS_HPP
+
+#include "savoryreach/base/error.hpp"
+#include "savoryreach/entry/job.hpp"
+#include "schema/generated/job.pb.h"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace savoryreach::entry
+{
+
+/// The state of a job that has not ended.
+[[nodiscard]] schema::job_answer running_answer(const std::string& submission_id);
+
+/// A failure that says nothing but \p claim about what ran.
+[[nodiscard]] schema::job_answer error_answer(const std::string& submission_id,
+                                              const base::reason& why, base::not_run claim,
+                                              absl::Duration retry_after = absl::ZeroDuration());
+
+/// The complete answer of a job all of whose tasks have succeeded.
+[[nodiscard]] schema::job_answer complete_answer(const job& it, absl::Time now);
+
+/// The failed answer of a job, with the claim that its tasks allow.
+[[nodiscard]] schema::job_answer failed_answer(const job& it, const base::reason& why,
+                                               absl::Time now);
+
+[[nodiscard]] schema::not_run_claim to_schema(base::not_run claim);
+
+} // namespace savoryreach::entry
+
+#endif
--- /dev/null
+++ b/savoryreach/entry/entry_state.cpp
@@ -0,0 +1,349 @@
+#include "savoryreach/entry/entry_state.hpp"
+
+#include "savoryreach/entry/answers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+constexpr std::size_t default_max_jobs = 100'000;
+
+std::size_t max_jobs(const schema::entry_settings& settings)
+{
+    return settings.max_jobs() != 0 ? settings.max_jobs() : default_max_jobs;
+}
+
+} // namespace
+
+entry_core::state::state(const schema::entry_settings& settings, entry_ports ports)
+    : context(settings, ports), keepers(context), members(context, keepers, membership_hooks()),
+      jobs(max_jobs(settings)), agents(context, members, endpoints, agent_hooks()),
+      claims(
+          context, keepers,
+          [this](const std::string& id, const schema::claim_result& result)
+          { flow.claim_answered(id, result); },
+          [this](const std::string& id) { flow.finish_acknowledged(id); }),
+      starts(shared()), results(shared(), result_hooks()),
+      takeovers(context, members, keepers, jobs, results, recovery_hooks()),
+      policy(shared(), routes),
+      flow({shared(), routes, claims, starts, takeovers, policy}, flow_hooks()),
+      forwards(context, members, routes, forward_hooks())
+{
+}
+
+dispatcher::parts entry_core::state::shared()
+{
+    return {context, members, jobs, agents, queue, endpoints, retries};
+}
+
+membership::hooks entry_core::state::membership_hooks()
+{
+    return {
+        [this] { joined(); },
+        [this] { fenced(); },
+        [this] { flow.lease_lost(); },
+        [this]
+        {
+            routes.update(members.members(), context.now());
+            policy.view_changed();
+        },
+        [this](const schema::declaration& declaration) { policy.apply(declaration); },
+    };
+}
+
+agent_table::hooks entry_core::state::agent_hooks()
+{
+    return {
+        [this](agent_link& link, const schema::session_item& item) { results.item(link, item); },
+        [this](agent_link& link) { results.agent_lost(link); },
+        [this](const std::vector<std::string>& kinds)
+        {
+            if (kinds.empty())
+            {
+                return static_cast<std::uint32_t>(queue.waiting());
+            }
+            std::size_t waiting = 0;
+            for (const auto& kind : kinds)
+            {
+                waiting += queue.waiting(kind);
+            }
+            return static_cast<std::uint32_t>(waiting);
+        },
+    };
+}
+
+task_results::hooks entry_core::state::result_hooks()
+{
+    return {
+        [this](job& it) { flow.progressed(it); },
+        [this](job& it, const base::reason& why) { flow.fail(it, why); },
+    };
+}
+
+recovery::hooks entry_core::state::recovery_hooks()
+{
+    return {[this](job& it)
+            {
+                flow.resume(it);
+            }};
+}
+
+job_flow::hooks entry_core::state::flow_hooks()
+{
+    return {
+        [this](const job_waiter& waiter, const schema::job_answer& answer)
+        { deliver(waiter, answer); },
+        [this](const job_waiter& waiter, const schema::submission& submission,
+               const base::node_name& owner)
+        {
+            if (!waiter.entry.empty())
+            {
+                redirect(waiter.entry, waiter.request_id, owner);
+                return;
+            }
+            forwards.start({request_kind::submit, waiter.request_id, submission,
+                            !waiter.respond_now, waiter.answer_by, waiter.hops},
+                           owner, true);
+        },
+    };
+}
+
+forwarding::hooks entry_core::state::forward_hooks()
+{
+    return {
+        [this](std::uint64_t request_id, const schema::job_answer& answer)
+        { context.ports.callers.answer(request_id, answer); },
+        [this](caller_request request) { handle(std::move(request)); },
+    };
+}
+
+void entry_core::state::joined()
+{
+    routes.restart(members.members(), members.has_predecessors(), context.now());
+    policy.view_changed();
+    claims.restart(members.epoch());
+}
+
+void entry_core::state::fenced()
+{
+    flow.epoch_over();
+    results.clear();
+    agents.clear();
+    claims.restart(0);
+}
+
+base::node_name entry_core::state::other_home(const std::string& submission_id, std::uint32_t hops)
+{
+    const auto home = routes.home_of(submission_id);
+    const bool is_here = !home || home->name == context.self || hops >= forwarding::hops_to_owner;
+    return is_here ? base::node_name() : home->name;
+}
+
+bool entry_core::state::check_ready(const std::string& submission_id, const job_waiter& waiter)
+{
+    if (members.has_lease() && !members.is_leaving())
+    {
+        return true;
+    }
+    // Another entry may run the job already, so this entry can't say that nothing ran.
+    const auto why =
+        members.is_leaving() || members.has_left()
+            ? make_refusal(base::error_kind::draining, "the entry is leaving", context.ports.random)
+            : make_refusal(base::error_kind::not_ready, "the entry has no lease",
+                           context.ports.random);
+    ++context.counters.refused;
+    deliver(waiter, error_answer(submission_id, why.why, base::not_run::unknown, why.retry_after));
+    return false;
+}
+
+void entry_core::state::handle(caller_request request)
+{
+    const auto& id = request.submission.submission_id();
+    const job_waiter waiter{base::node_name(), request.request_id, request.answer_by, !request.wait,
+                            request.hops};
+    if (!flow.knows(id))
+    {
+        if (!check_ready(id, waiter))
+        {
+            return;
+        }
+        const auto home = other_home(id, request.hops);
+        if (!home.empty())
+        {
+            forwards.start(std::move(request), home, false);
+            return;
+        }
+    }
+    handle_here(request, waiter);
+}
+
+void entry_core::state::handle_here(const caller_request& request, const job_waiter& waiter)
+{
+    switch (request.kind)
+    {
+    case request_kind::submit:
+        flow.submit(request.submission, waiter);
+        break;
+    case request_kind::lookup:
+        flow.lookup(request.submission.submission_id(), waiter);
+        break;
+    case request_kind::cancel:
+        flow.cancel(request.submission.submission_id(), waiter);
+        break;
+    }
+}
+
+void entry_core::state::handle_id(request_kind kind, std::uint64_t request_id,
+                                  const std::string& submission_id)
+{
+    caller_request request;
+    request.kind = kind;
+    request.request_id = request_id;
+    request.submission.set_submission_id(submission_id);
+    request.answer_by = context.now() + short_request;
+    handle(std::move(request));
+}
+
+void entry_core::state::deliver(const job_waiter& waiter, const schema::job_answer& answer)
+{
+    if (waiter.entry.empty())
+    {
+        context.ports.callers.answer(waiter.request_id, answer);
+        return;
+    }
+    schema::envelope message;
+    message.mutable_forward_answer()->set_request_id(waiter.request_id);
+    *message.mutable_forward_answer()->mutable_answer() = answer;
+    context.send(waiter.entry, std::move(message));
+}
+
+void entry_core::state::redirect(const base::node_name& to, std::uint64_t request_id,
+                                 const base::node_name& owner)
+{
+    schema::envelope message;
+    message.mutable_forward_answer()->set_request_id(request_id);
+    message.mutable_forward_answer()->set_owner(owner.value());
+    context.send(to, std::move(message));
+}
+
+void entry_core::state::receive_submit(const base::node_name& from,
+                                       const schema::forward_submit& message)
+{
+    const auto& id = message.submission().submission_id();
+    const job_waiter waiter{from, message.request_id(),
+                            context.now() + absl::Milliseconds(message.remaining_ms()),
+                            message.respond_now(), message.hops()};
+    if (!flow.knows(id))
+    {
+        if (!check_ready(id, waiter))
+        {
+            return;
+        }
+        const auto home = other_home(id, message.hops());
+        if (!home.empty())
+        {
+            redirect(from, message.request_id(), home);
+            return;
+        }
+    }
+    if (message.lookup_only())
+    {
+        flow.lookup(id, waiter);
+        return;
+    }
+    flow.submit(message.submission(), waiter);
+}
+
+void entry_core::state::receive_cancel(const base::node_name& from,
+                                       const schema::forward_cancel& message)
+{
+    const auto& id = message.submission_id();
+    const job_waiter waiter{from, message.request_id(), context.now() + short_request, false,
+                            message.hops()};
+    if (!flow.knows(id))
+    {
+        const auto home = other_home(id, message.hops());
+        if (!home.empty())
+        {
+            redirect(from, message.request_id(), home);
+            return;
+        }
+    }
+    flow.cancel(id, waiter);
+}
+
+void entry_core::state::receive(const base::node_name& from, const schema::envelope& message)
+{
+    ++context.counters.frames_received;
+    switch (message.body_case())
+    {
+    case schema::envelope::kForwardSubmit:
+        receive_submit(from, message.forward_submit());
+        break;
+    case schema::envelope::kForwardAnswer:
+        forwards.receive(from, message.forward_answer());
+        break;
+    case schema::envelope::kForwardCancel:
+        receive_cancel(from, message.forward_cancel());
+        break;
+    case schema::envelope::kSession:
+        agents.frame(from, message.session());
+        break;
+    case schema::envelope::kAgentHello:
+        agents.hello(from, message.agent_hello());
+        break;
+    case schema::envelope::kInquiryReply:
+        takeovers.receive(from, message.inquiry_reply());
+        break;
+    case schema::envelope::kKeeperReply:
+        keepers.receive(message.keeper_reply());
+        break;
+    case schema::envelope::kViewPush:
+        members.pushed(message.view_push().view());
+        break;
+    default:
+        break;
+    }
+}
+
+void entry_core::state::tick()
+{
+    members.tick(agents.progress());
+    keepers.tick();
+    agents.tick();
+    takeovers.tick();
+    results.tick();
+    flow.tick();
+    forwards.tick();
+    starts.tick();
+    claims.tick();
+    agents.flush();
+    leave_when_idle();
+}
+
+void entry_core::state::leave_when_idle()
+{
+    const bool is_idle =
+        flow.is_draining() && jobs.open_jobs() == 0 && claims.is_idle() && forwards.size() == 0;
+    if (is_idle)
+    {
+        members.leave();
+    }
+}
+
+entry_status entry_core::state::status() const
+{
+    auto status = context.counters;
+    status.epoch = members.epoch();
+    status.config_revision = members.config_revision();
+    status.jobs = jobs.open_jobs();
+    status.waiting_tasks = queue.waiting();
+    status.agents = agents.live_agents();
+    return status;
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/job_flow.cpp
@@ -0,0 +1,582 @@
+#include "savoryreach/entry/job_flow.hpp"
+
+#include "savoryreach/base/digest.hpp"
+#include "savoryreach/entry/answers.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+std::string name_of(base::error_kind kind)
+{
+    return std::string(base::traits_of(kind).name);
+}
+
+base::reason conflict_reason()
+{
+    return {base::error_kind::content_conflict, "the submission id was used with other content"};
+}
+
+} // namespace
+
+job_flow::job_flow(const parts& of, hooks call)
+    : of_(of), context_(of.shared.context), jobs_(of.shared.jobs), call_(std::move(call))
+{
+}
+
+bool job_flow::knows(const std::string& submission_id)
+{
+    return jobs_.find(submission_id) != nullptr ||
+           jobs_.refusal_of(submission_id, context_.now()) != nullptr;
+}
+
+void job_flow::submit(const schema::submission& submission, const job_waiter& waiter)
+{
+    ++context_.counters.submissions;
+    const auto& id = submission.submission_id();
+    const auto digest = base::content_digest(submission.SerializeAsString());
+    if (auto* known = jobs_.find(id))
+    {
+        join(*known, submission, digest, waiter);
+        return;
+    }
+    if (const auto* known = jobs_.refusal_of(id, context_.now()))
+    {
+        ++context_.counters.refused;
+        call_.answer(waiter, known->answer);
+        return;
+    }
+    if (is_draining_)
+    {
+        refuse(submission, digest, waiter,
+               make_refusal(base::error_kind::draining, "the entry is draining",
+                            context_.ports.random));
+        return;
+    }
+    if (const auto why = of_.policy.check(submission))
+    {
+        refuse(submission, digest, waiter, *why);
+        return;
+    }
+    accept(submission, digest, waiter);
+}
+
+void job_flow::join(job& it, const schema::submission& submission, const std::string& digest,
+                    const job_waiter& waiter)
+{
+    if (it.digest != digest)
+    {
+        const auto why = conflict_reason();
+        call_.answer(
+            waiter, error_answer(submission.submission_id(), why, base::traits_of(why.kind).claim));
+        return;
+    }
+    const auto is_same = [&waiter](const job_waiter& known)
+    {
+        return known.entry == waiter.entry && known.request_id == waiter.request_id;
+    };
+    if (std::ranges::any_of(it.waiters, is_same))
+    {
+        return;
+    }
+    ++context_.counters.joined;
+    context_.ports.events.record("job_joined", {{"submission", it.id()}});
+    add_waiter(it, waiter);
+}
+
+void job_flow::add_waiter(job& it, const job_waiter& waiter)
+{
+    if (it.is_ended())
+    {
+        call_.answer(waiter, *it.answer);
+        return;
+    }
+    if (waiter.respond_now && it.is_claimed)
+    {
+        call_.answer(waiter, running_answer(it.id()));
+        return;
+    }
+    if (waiter.entry.empty())
+    {
+        callers_[waiter.request_id] = it.id();
+    }
+    it.waiters.push_back(waiter);
+    jobs_.wake_at(it.number, waiter.answer_by);
+}
+
+bool job_flow::needs_ledger(const std::string& submission_id)
+{
+    return of_.routes.had_other_home(submission_id, context_.now()) ||
+           jobs_.was_finished(submission_id);
+}
+
+void job_flow::refuse(const schema::submission& submission, const std::string& digest,
+                      const job_waiter& waiter, const refusal& why)
+{
+    const auto& id = submission.submission_id();
+    const bool is_unknown = needs_ledger(id);
+    if (is_unknown && verifying_ < max_verifying)
+    {
+        // Another epoch may have run the job; only the claim tells whether nothing of it ran.
+        auto& it = jobs_.add(submission, digest, context_.now());
+        it.phase = job_phase::verifying;
+        it.is_verified = false;
+        it.refusal = why.why;
+        it.retry_after = why.retry_after;
+        ++verifying_;
+        add_waiter(it, waiter);
+        jobs_.wake_at(it.number, it.answer_by);
+        of_.claims.claim(id, digest);
+        return;
+    }
+    ++context_.counters.refused;
+    context_.ports.events.record("job_refused",
+                                 {{"submission", id}, {"reason", name_of(why.why.kind)}});
+    auto answer = error_answer(id, why.why, base::not_run::yes, why.retry_after);
+    const auto until = context_.now() + absl::Milliseconds(answer.retry_after_ms());
+    if (is_unknown || !jobs_.remember_refusal(id, {digest, answer, until}))
+    {
+        answer.set_not_run(to_schema(base::not_run::unknown));
+    }
+    call_.answer(waiter, answer);
+}
+
+void job_flow::accept(const schema::submission& submission, const std::string& digest,
+                      const job_waiter& waiter)
+{
+    auto& it = jobs_.add(submission, digest, context_.now());
+    it.is_verified = !needs_ledger(it.id());
+    it.waiting = static_cast<std::uint32_t>(it.tasks.size());
+    of_.shared.queue.reserve(it);
+    context_.ports.events.record("job_accepted",
+                                 {{"submission", it.id()}, {"tasks", absl::StrCat(it.waiting)}});
+    add_waiter(it, waiter);
+    jobs_.wake_at(it.number, it.answer_by);
+    of_.claims.claim(it.id(), digest);
+}
+
+void job_flow::claim_answered(const std::string& submission_id, const schema::claim_result& result)
+{
+    if (result.outcome() == schema::claim_fenced)
+    {
+        of_.shared.members.epoch_fenced();
+        return;
+    }
+    auto* it = jobs_.find(submission_id);
+    if (it == nullptr || it->is_ended() || it->is_claimed)
+    {
+        return;
+    }
+    switch (result.outcome())
+    {
+    case schema::claim_granted:
+        claimed(*it);
+        break;
+    case schema::claim_taken_over:
+        taken_over(*it, result);
+        break;
+    case schema::claim_owned:
+        owned_elsewhere(*it, result.owner());
+        break;
+    case schema::claim_finished:
+        answer_all(*it, error_answer(it->id(),
+                                     {base::error_kind::answer_not_held,
+                                      "the job has ended and its answer is no longer held"},
+                                     base::not_run::no));
+        jobs_.note_finished(it->id(), context_.now());
+        drop(*it);
+        break;
+    case schema::claim_conflict:
+        answer_all(*it, error_answer(it->id(), conflict_reason(),
+                                     base::traits_of(base::error_kind::content_conflict).claim));
+        drop(*it);
+        break;
+    case schema::claim_full:
+    {
+        const auto why =
+            make_refusal(base::error_kind::ledger_full, "the ledger holds its maximum of claims",
+                         context_.ports.random);
+        it->is_verified = true;
+        refuse_job(*it, why.why, why.retry_after);
+        break;
+    }
+    default:
+        of_.claims.claim(it->id(), it->digest);
+        break;
+    }
+}
+
+void job_flow::claimed(job& it)
+{
+    it.is_claimed = true;
+    context_.ports.events.record("claim_granted", {{"submission", it.id()}});
+    if (it.phase == job_phase::verifying)
+    {
+        const auto why = it.refusal;
+        refuse_job(it, why, it.retry_after);
+        return;
+    }
+    begin(it);
+}
+
+void job_flow::taken_over(job& it, const schema::claim_result& result)
+{
+    it.is_claimed = true;
+    context_.ports.events.record(
+        "claim_granted",
+        {{"submission", it.id()}, {"previous_epoch", absl::StrCat(result.previous_epoch())}});
+    if (it.phase == job_phase::verifying)
+    {
+        // Tasks may have run, so the refusal can't stand: the job is carried on instead.
+        --verifying_;
+        it.phase = job_phase::claiming;
+    }
+    it.dead_epochs.assign(result.earlier_epochs().begin(), result.earlier_epochs().end());
+    if (result.previous_epoch() != 0)
+    {
+        it.dead_epochs.push_back(result.previous_epoch());
+    }
+    std::ranges::sort(it.dead_epochs);
+    const auto repeated = std::ranges::unique(it.dead_epochs);
+    it.dead_epochs.erase(repeated.begin(), repeated.end());
+    for (auto& task : it.tasks)
+    {
+        task.phase = task_phase::unresolved;
+    }
+    of_.shared.queue.remove(it);
+    begin(it);
+}
+
+void job_flow::begin(job& it)
+{
+    const auto now = context_.now();
+    const auto answer = running_answer(it.id());
+    std::erase_if(it.waiters,
+                  [&](const job_waiter& waiter)
+                  {
+                      if (waiter.respond_now)
+                      {
+                          callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
+                          call_.answer(waiter, answer);
+                      }
+                      return waiter.respond_now;
+                  });
+    it.held_until = of_.routes.hold_until(it.id(), now);
+    if (it.held_until > now)
+    {
+        it.phase = job_phase::held;
+        jobs_.wake_at(it.number, it.held_until);
+        return;
+    }
+    if (!it.dead_epochs.empty())
+    {
+        it.phase = job_phase::recovering;
+        of_.takeovers.add(it);
+        return;
+    }
+    it.phase = job_phase::running;
+    of_.shared.queue.start(it);
+}
+
+void job_flow::resume(job& it)
+{
+    assert(it.phase == job_phase::recovering);
+    it.phase = job_phase::running;
+    of_.shared.queue.reserve(it);
+    of_.shared.queue.start(it);
+    progressed(it);
+}
+
+void job_flow::owned_elsewhere(job& it, const std::string& owner)
+{
+    if (owner == context_.self.value())
+    {
+        // An earlier epoch of this process's name that is not fenced yet.
+        of_.claims.claim(it.id(), it.digest);
+        return;
+    }
+    const auto waiters = std::exchange(it.waiters, {});
+    const auto submission = it.submission;
+    drop(it);
+    for (const auto& waiter : waiters)
+    {
+        callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
+        call_.moved(waiter, submission, base::node_name(owner));
+    }
+}
+
+void job_flow::answer_all(job& it, const schema::job_answer& answer)
+{
+    for (const auto& waiter : std::exchange(it.waiters, {}))
+    {
+        callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
+        call_.answer(waiter, answer);
+    }
+}
+
+void job_flow::refuse_job(job& it, const base::reason& why, absl::Duration retry_after)
+{
+    ++context_.counters.refused;
+    context_.ports.events.record("job_refused",
+                                 {{"submission", it.id()}, {"reason", name_of(why.kind)}});
+    auto answer = error_answer(it.id(), why, it.not_run(), retry_after);
+    const auto until = context_.now() + absl::Milliseconds(answer.retry_after_ms());
+    if (!jobs_.remember_refusal(it.id(), {it.digest, answer, until}))
+    {
+        answer.set_not_run(to_schema(base::not_run::unknown));
+    }
+    answer_all(it, answer);
+    drop(it);
+}
+
+void job_flow::drop(job& it)
+{
+    of_.shared.queue.remove(it);
+    of_.takeovers.remove(it);
+    of_.starts.release(it);
+    if (it.phase == job_phase::verifying)
+    {
+        --verifying_;
+    }
+    jobs_.erase(it);
+}
+
+void job_flow::progressed(job& it)
+{
+    const auto now = context_.now();
+    if (it.phase == job_phase::closing)
+    {
+        check_closing(it, now);
+    }
+    else if (!it.is_ended() && it.succeeded == it.tasks.size())
+    {
+        end(it, complete_answer(it, now));
+    }
+}
+
+void job_flow::fail(job& it, const base::reason& why)
+{
+    if (it.is_ended() || it.phase == job_phase::closing)
+    {
+        return;
+    }
+    of_.shared.queue.remove(it);
+    of_.starts.cancel(it);
+    const auto now = context_.now();
+    if (it.count(task_phase::sent) > 0 && !it.has_started())
+    {
+        // The agents' answers decide whether the caller can be told that nothing ran.
+        it.phase = job_phase::closing;
+        it.failure = why;
+        it.close_by = now + closing_time;
+        jobs_.wake_at(it.number, it.close_by);
+        return;
+    }
+    end(it, failed_answer(it, why, now));
+}
+
+void job_flow::check_closing(job& it, absl::Time now)
+{
+    if (it.count(task_phase::sent) == 0 || it.has_started() || now >= it.close_by)
+    {
+        end(it, failed_answer(it, it.failure, now));
+    }
+}
+
+void job_flow::end(job& it, schema::job_answer answer)
+{
+    const bool is_complete = answer.state() == schema::job_state_complete;
+    ++(is_complete ? context_.counters.completed : context_.counters.failed);
+    if (it.phase == job_phase::verifying)
+    {
+        --verifying_;
+    }
+    of_.shared.queue.remove(it);
+    of_.takeovers.remove(it);
+    it.phase = job_phase::ended;
+    it.answer = std::move(answer);
+    it.retain_until = context_.now() + of_.policy.answer_retention();
+    jobs_.job_ended(it);
+    jobs_.wake_at(it.number, it.retain_until);
+    if (it.answer->not_run() != schema::not_run_true)
+    {
+        it.is_finish_due = true;
+        of_.claims.finish(it.id());
+    }
+    context_.ports.events.record(
+        "job_answered", {{"submission", it.id()},
+                         {"state", is_complete ? "complete" : "failed"},
+                         {"reason", name_of(base::error_kind_from(it.answer->error_kind()))}});
+    answer_all(it, *it.answer);
+}
+
+void job_flow::finish_acknowledged(const std::string& submission_id)
+{
+    if (auto* it = jobs_.find(submission_id))
+    {
+        it->is_finish_due = false;
+        forget_if_over(*it, context_.now());
+    }
+}
+
+void job_flow::forget_if_over(job& it, absl::Time now)
+{
+    if (!it.is_ended() || it.is_finish_due || now < it.retain_until)
+    {
+        return;
+    }
+    if (it.answer->not_run() != schema::not_run_true)
+    {
+        jobs_.note_finished(it.id(), now);
+    }
+    drop(it);
+}
+
+void job_flow::answer_overdue_waiters(job& it, absl::Time now)
+{
+    const auto answer = running_answer(it.id());
+    std::erase_if(it.waiters,
+                  [&](const job_waiter& waiter)
+                  {
+                      const bool is_overdue = waiter.answer_by <= now;
+                      if (is_overdue)
+                      {
+                          callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
+                          call_.answer(waiter, answer);
+                      }
+                      return is_overdue;
+                  });
+}
+
+void job_flow::due(job& it, absl::Time now)
+{
+    if (it.is_ended())
+    {
+        forget_if_over(it, now);
+        return;
+    }
+    if (it.phase == job_phase::closing)
+    {
+        check_closing(it, now);
+        return;
+    }
+    if (it.answer_by <= now)
+    {
+        fail(it, {base::error_kind::deadline_passed, "the time budget has passed"});
+        return;
+    }
+    if (it.phase == job_phase::held && it.held_until <= now)
+    {
+        begin(it);
+    }
+    answer_overdue_waiters(it, now);
+}
+
+void job_flow::tick()
+{
+    const auto now = context_.now();
+    jobs_.expire_refusals(now);
+    for (const auto number : jobs_.due(now))
+    {
+        if (auto* it = jobs_.find(number))
+        {
+            due(*it, now);
+        }
+    }
+}
+
+void job_flow::lookup(const std::string& submission_id, const job_waiter& waiter)
+{
+    if (const auto* it = jobs_.find(submission_id))
+    {
+        call_.answer(waiter, it->is_ended() ? *it->answer : running_answer(submission_id));
+        return;
+    }
+    const auto* refused = jobs_.refusal_of(submission_id, context_.now());
+    call_.answer(waiter, refused != nullptr ? refused->answer
+                                            : error_answer(submission_id,
+                                                           {base::error_kind::not_found,
+                                                            "no job of this id is known"},
+                                                           base::not_run::unknown));
+}
+
+void job_flow::cancel(const std::string& submission_id, const job_waiter& waiter)
+{
+    auto* it = jobs_.find(submission_id);
+    if (it == nullptr)
+    {
+        lookup(submission_id, waiter);
+        return;
+    }
+    auto patient = waiter;
+    patient.respond_now = false;
+    add_waiter(*it, patient);
+    fail(*it, {base::error_kind::cancelled, "the caller has cancelled the job"});
+}
+
+void job_flow::waiter_gone(std::uint64_t request_id)
+{
+    const auto known = callers_.find(request_id);
+    if (known == callers_.end())
+    {
+        return;
+    }
+    if (auto* it = jobs_.find(known->second))
+    {
+        std::erase_if(it->waiters, [request_id](const job_waiter& waiter)
+                      { return waiter.entry.empty() && waiter.request_id == request_id; });
+    }
+    callers_.erase(known);
+}
+
+void job_flow::lease_lost()
+{
+    std::vector<job_number> unstarted;
+    jobs_.for_each(
+        [&unstarted](job& it)
+        {
+            if (!it.is_ended() && it.phase != job_phase::closing && it.tasks_started() == 0)
+            {
+                unstarted.push_back(it.number);
+            }
+        });
+    for (const auto number : unstarted)
+    {
+        const auto why = make_refusal(base::error_kind::not_ready, "the entry's lease has expired",
+                                      context_.ports.random);
+        refuse_job(*jobs_.find(number), why.why, why.retry_after);
+    }
+}
+
+void job_flow::epoch_over()
+{
+    lease_lost();
+    jobs_.for_each(
+        [this](job& it)
+        {
+            if (it.is_ended())
+            {
+                return;
+            }
+            auto answer = error_answer(it.id(),
+                                       {base::error_kind::unreachable,
+                                        "the entry's epoch is fenced; another entry carries on"},
+                                       it.not_run());
+            answer.set_tasks_started(it.tasks_started());
+            answer_all(it, answer);
+        });
+    of_.shared.queue.clear();
+    of_.takeovers.clear();
+    jobs_.clear();
+    verifying_ = 0;
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/job_flow.hpp
@@ -0,0 +1,112 @@
+#ifndef SAVORYREACH_ENTRY_JOB_FLOW_HPP
+#define SAVORYREACH_ENTRY_JOB_FLOW_HPP
+
+#include "savoryreach/entry/admission.hpp"
+#include "savoryreach/entry/claim_client.hpp"
+#include "savoryreach/entry/dispatcher.hpp"
+#include "savoryreach/entry/forwarding.hpp"
+#include "savoryreach/entry/job_policy.hpp"
+#include "savoryreach/entry/job_table.hpp"
+#include "savoryreach/entry/recovery.hpp"
+
+#include <functional>
+#include <string>
+
+namespace savoryreach::entry
+{
+
+/// The life of the jobs whose home is this entry: copies join, refusals are remembered, claims are
+/// made before anything is sent, and each job gets one answer. Not thread-safe.
+class job_flow
+{
+public:
+    struct parts
+    {
+        dispatcher::parts shared;
+        router& routes;
+        claim_client& claims;
+        dispatcher& starts;
+        recovery& takeovers;
+        job_policy& policy;
+    };
+
+    struct hooks
+    {
+        /// Delivers an answer to a waiter, here or at another entry.
+        std::function<void(const job_waiter&, const schema::job_answer&)> answer;
+        /// The job belongs to another entry.
+        std::function<void(const job_waiter&, const schema::submission&,
+                           const base::node_name& owner)>
+            moved;
+    };
+
+    job_flow(const parts& of, hooks call);
+
+    /// A copy of a submission has arrived at its home.
+    void submit(const schema::submission& submission, const job_waiter& waiter);
+    /// True when this entry has a job or a refusal in force for the submission.
+    [[nodiscard]] bool knows(const std::string& submission_id);
+    void lookup(const std::string& submission_id, const job_waiter& waiter);
+    void cancel(const std::string& submission_id, const job_waiter& waiter);
+    void waiter_gone(std::uint64_t request_id);
+
+    void claim_answered(const std::string& submission_id, const schema::claim_result& result);
+    void finish_acknowledged(const std::string& submission_id);
+
+    /// A task of the job has ended.
+    void progressed(job& it);
+    /// The job can't complete.
+    void fail(job& it, const base::reason& why);
+    /// The tasks of a taken-over job are resolved.
+    void resume(job& it);
+
+    /// Acts on deadlines.
+    void tick();
+
+    /// Refuses what has not started; the rest goes on when the lease comes back.
+    void lease_lost();
+    /// Answers every job that has not ended, as this epoch can start nothing more, and forgets all.
+    void epoch_over();
+
+    void begin_drain() { is_draining_ = true; }
+    [[nodiscard]] bool is_draining() const { return is_draining_; }
+
+    /// Time for agents to confirm that cancelled tasks had not started.
+    static constexpr absl::Duration closing_time = absl::Milliseconds(200);
+    /// Bound on refusals that wait for the ledger.
+    static constexpr std::size_t max_verifying = 1'000;
+
+private:
+    void join(job& it, const schema::submission& submission, const std::string& digest,
+              const job_waiter& waiter);
+    void refuse(const schema::submission& submission, const std::string& digest,
+                const job_waiter& waiter, const refusal& why);
+    void accept(const schema::submission& submission, const std::string& digest,
+                const job_waiter& waiter);
+    [[nodiscard]] bool needs_ledger(const std::string& submission_id);
+    void claimed(job& it);
+    void taken_over(job& it, const schema::claim_result& result);
+    void owned_elsewhere(job& it, const std::string& owner);
+    void begin(job& it);
+    void refuse_job(job& it, const base::reason& why, absl::Duration retry_after);
+    void drop(job& it);
+    void end(job& it, schema::job_answer answer);
+    void answer_all(job& it, const schema::job_answer& answer);
+    void add_waiter(job& it, const job_waiter& waiter);
+    void answer_overdue_waiters(job& it, absl::Time now);
+    void check_closing(job& it, absl::Time now);
+    void due(job& it, absl::Time now);
+    void forget_if_over(job& it, absl::Time now);
+
+    parts of_;                                                ///< the other classes of the core
+    entry_context& context_;                                  ///< ports and counters
+    job_table& jobs_;                                         ///< jobs and refusals
+    hooks call_;                                              ///< delivers answers
+    bool is_draining_ = false;                                ///< new submissions are refused
+    std::size_t verifying_ = 0;                               ///< refusals that wait for the ledger
+    absl::flat_hash_map<std::uint64_t, std::string> callers_; ///< request id to submission id
+};
+
+} // namespace savoryreach::entry
+
+#endif
--- /dev/null
+++ b/savoryreach/entry/takeover.cpp
@@ -0,0 +1,191 @@
+#include "savoryreach/entry/takeover.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace savoryreach::entry
+{
+
+takeover::takeover(entry_context& context, keeper_client& keepers, std::uint64_t dead_epoch,
+                   std::uint64_t own_epoch)
+    : context_(context), keepers_(keepers), dead_epoch_(dead_epoch), own_epoch_(own_epoch),
+      request_id_(context.ports.random.next()), ask_at_(context.now())
+{
+    context_.ports.events.record("takeover_started", {{"epoch", absl::StrCat(dead_epoch_)}});
+    ask_keepers();
+}
+
+void takeover::ask_keepers()
+{
+    is_asked_ = true;
+    schema::keeper_request request;
+    request.mutable_fence_info()->set_epoch(dead_epoch_);
+    // The owner destroys takeovers only after it has cancelled all keeper requests.
+    keepers_.call(std::move(request),
+                  [this](const schema::keeper_reply& reply, absl::Time)
+                  {
+                      is_asked_ = false;
+                      start_inquiries(reply.fence_info(), context_.now());
+                  });
+}
+
+void takeover::start_inquiries(const schema::fence_info_reply& reply, absl::Time now)
+{
+    if (!reply.fenced())
+    {
+        ask_at_ = now + resend_interval;
+        return;
+    }
+    fenced_at_ = now;
+    for (const auto& it : reply.agents())
+    {
+        const agent_life agent{base::node_name(it.name()), it.incarnation()};
+        auto& asked = agents_[agent];
+        asked.heard_at = now;
+        asked.send_at = now + resend_interval;
+        send_inquiry(agent);
+    }
+    check_finished();
+}
+
+void takeover::send_inquiry(const agent_life& agent)
+{
+    schema::envelope message;
+    auto& body = *message.mutable_inquiry();
+    body.set_request_id(request_id_);
+    body.set_dead_epoch(dead_epoch_);
+    body.set_asker(context_.self.value());
+    body.set_asker_epoch(own_epoch_);
+    context_.send(agent.name, std::move(message));
+}
+
+bool takeover::receive(const base::node_name& from, const schema::inquiry_reply& reply)
+{
+    if (reply.request_id() != request_id_ || from.value() != reply.agent())
+    {
+        return false;
+    }
+    for (auto& [agent, asked] : agents_)
+    {
+        if (agent.name != from)
+        {
+            continue;
+        }
+        if (agent.incarnation == reply.incarnation())
+        {
+            // An answer after the deadline still tells the truth about this incarnation.
+            asked.has_answered = true;
+            asked.is_unresolved = false;
+            asked.heard_at = context_.now();
+            store(agent, reply);
+        }
+        else if (agent.incarnation < reply.incarnation())
+        {
+            asked.is_replaced = true;
+            asked.is_unresolved = !asked.has_answered;
+        }
+    }
+    check_finished();
+    return true;
+}
+
+void takeover::store(const agent_life& agent, const schema::inquiry_reply& reply)
+{
+    for (const auto& start : reply.tasks())
+    {
+        auto& records = records_[start.submission_id()];
+        const auto same = [&](const start_record& it)
+        {
+            return it.agent == agent && it.start.task() == start.task() &&
+                   it.start.attempt() == start.attempt();
+        };
+        const auto known = std::ranges::find_if(records, same);
+        if (known == records.end())
+        {
+            records.push_back(start_record{agent, start});
+        }
+        else if (start.ended())
+        {
+            // A reply that was sent before the end may arrive after the report of the end.
+            known->start = start;
+        }
+    }
+}
+
+void takeover::watch(const agent_life& agent)
+{
+    const auto it = agents_.find(agent);
+    if (it != agents_.end() && !it->second.is_watched)
+    {
+        it->second.is_watched = true;
+        it->second.send_at = context_.now();
+    }
+}
+
+void takeover::tick()
+{
+    const auto now = context_.now();
+    if (fenced_at_ == absl::InfiniteFuture())
+    {
+        if (!is_asked_ && now >= ask_at_)
+        {
+            ask_keepers();
+        }
+        return;
+    }
+    for (auto& [agent, it] : agents_)
+    {
+        const bool is_open = !it.has_answered && !it.is_unresolved;
+        if (is_open && fenced_at_ + inquiry_deadline <= now)
+        {
+            it.is_unresolved = true;
+            continue;
+        }
+        if ((is_open || it.is_watched) && !it.is_replaced && it.send_at <= now)
+        {
+            it.send_at = now + (is_open ? resend_interval : watch_interval);
+            send_inquiry(agent);
+        }
+    }
+    check_finished();
+}
+
+bool takeover::is_accounted() const
+{
+    return fenced_at_ != absl::InfiniteFuture() &&
+           std::ranges::all_of(agents_, [](const auto& it)
+                               { return it.second.has_answered || it.second.is_unresolved; });
+}
+
+bool takeover::has_unresolved() const
+{
+    return std::ranges::any_of(agents_, [](const auto& it) { return it.second.is_unresolved; });
+}
+
+bool takeover::is_gone(const agent_life& agent) const
+{
+    const auto it = agents_.find(agent);
+    return it == agents_.end() || it->second.heard_at + watch_deadline <= context_.now();
+}
+
+const std::vector<start_record>& takeover::records_of(const std::string& id) const
+{
+    static const std::vector<start_record> none;
+    const auto it = records_.find(id);
+    return it != records_.end() ? it->second : none;
+}
+
+void takeover::check_finished()
+{
+    if (!is_reported_ && is_accounted())
+    {
+        is_reported_ = true;
+        context_.ports.events.record("takeover_finished",
+                                     {{"epoch", absl::StrCat(dead_epoch_)},
+                                      {"agents", absl::StrCat(agents_.size())},
+                                      {"unresolved", has_unresolved() ? "yes" : "no"}});
+    }
+}
+
+} // namespace savoryreach::entry
--- /dev/null
+++ b/savoryreach/entry/work_queue.hpp
@@ -0,0 +1,60 @@
+#ifndef SAVORYREACH_ENTRY_WORK_QUEUE_HPP
+#define SAVORYREACH_ENTRY_WORK_QUEUE_HPP
+
+#include "savoryreach/entry/fair_queue.hpp"
+#include "savoryreach/entry/job.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace savoryreach::entry
+{
+
+/// The fair queue with counts of the waiting tasks and used slots of each team. Tasks of a job
+/// whose claim is not granted yet are counted and not queued. Not thread-safe.
+class work_queue
+{
+public:
+    fair_queue& queue() { return queue_; }
+
+    /// Counts the waiting tasks of an admitted job.
+    void reserve(job& it);
+    /// Makes the job's waiting tasks startable.
+    void start(job& it);
+    /// Makes one task of a running job startable.
+    void put_back(job& it);
+    /// Removes the job; its tasks at agents stay counted until they end.
+    void remove(job& it);
+    /// Drops all jobs.
+    void clear();
+
+    /// A task that the queue gave out is sent to an agent.
+    void task_sent(job& it);
+    /// A task that the queue gave out could not be placed.
+    void task_skipped(job& it, absl::Duration charged);
+    /// An attempt has ended after \p observed slot time.
+    void attempt_ended(const job& it, absl::Duration charged, absl::Duration observed);
+
+    [[nodiscard]] std::size_t waiting() const { return waiting_; }
+    [[nodiscard]] std::size_t waiting(const std::string& kind) const;
+    [[nodiscard]] std::size_t waiting(const std::string& kind, const std::string& team) const;
+    [[nodiscard]] std::uint32_t slots_of(const std::string& team) const;
+
+private:
+    void count(const job& it, std::int64_t change);
+
+    fair_queue queue_;                                      ///< order of starts
+    absl::flat_hash_map<job_number, std::uint32_t> queued_; ///< jobs that queue_ knows
+    std::size_t waiting_ = 0;                               ///< tasks of all jobs
+    absl::flat_hash_map<std::string, std::size_t> by_kind_; ///< waiting tasks
+    absl::flat_hash_map<std::pair<std::string, std::string>, std::size_t>
+        by_team_;                                           ///< (kind, team)
+    absl::flat_hash_map<std::string, std::uint32_t> slots_; ///< used by each team
+};
+
+} // namespace savoryreach::entry
+
+#endif
