--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -6,4 +6,23 @@
   entry/placement.cpp
   entry/placement_state.cpp
   entry/retry_budget.cpp
-  entry/share_schedule.cpp)
+  entry/share_schedule.cpp
+  entry/agent_table.cpp
+  entry/answers.cpp
+  entry/claim_client.cpp
+  entry/dispatcher.cpp
+  entry/entry_core.cpp
+  entry/entry_describe.cpp
+  entry/entry_state.cpp
+  entry/forwarding.cpp
+  entry/job.cpp
+  entry/job_flow.cpp
+  entry/job_policy.cpp
+  entry/job_table.cpp
+  entry/keeper_client.cpp
+  entry/membership.cpp
+  entry/recovery.cpp
+  entry/router.cpp
+  entry/takeover.cpp
+  entry/task_results.cpp
+  entry/work_queue.cpp)
