--- a/daemons/agent_main.cpp
+++ b/daemons/agent_main.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-int serve(const schema::agent_settings& settings)
+int serve(schema::agent_settings settings)
 {
+    settings.set_max_result_bytes(16777216);
     daemon::node node(settings.common(), "agent", {});
     agent::agent_core* running_core = nullptr;
     const auto address = net::parse_address(settings.endpoint());
--- a/daemons/command_line.hpp
+++ b/daemons/command_line.hpp
@@ -25,7 +25,8 @@
 inline constexpr int exit_bad_settings = 2;
 
 /// Reads a settings file; prints the reason when it can't be used.
-template <typename Settings> std::optional<Settings> load_settings(const std::string& file)
+template <typename Settings>
+std::optional<Settings> load_settings(const std::string& file)
 {
     std::ifstream in(file);
     Json::Value value;
@@ -36,8 +37,10 @@
         std::cerr << file << ": " << errors << "\n";
         return std::nullopt;
     }
-    const auto status = google::protobuf::util::JsonStringToMessage(
-        Json::writeString(Json::StreamWriterBuilder(), value), &settings);
+    Json::StreamWriterBuilder writer;
+    writer["commentStyle"] = "None";
+    const auto status =
+        google::protobuf::util::JsonStringToMessage(Json::writeString(writer, value), &settings);
     if (!status.ok())
     {
         std::cerr << file << ": " << status.ToString() << "\n";
--- a/daemons/entry_main.cpp
+++ b/daemons/entry_main.cpp
@@ -9,8 +9,12 @@
 namespace
 {
 
-int serve(const schema::entry_settings& settings)
+int serve(schema::entry_settings settings)
 {
+    settings.set_max_connections(1024);
+    settings.set_max_body_bytes(8388608);
+    settings.set_max_jobs(100000);
+    settings.set_max_waiting_tasks(1000000);
     daemon::answer_waiters waiters;
     daemon::node node(settings.common(), "entry",
                       {.max_connections = settings.max_connections(),
