--- /dev/null
+++ b/tests/processes/whole_path_test.cpp
@@ -0,0 +1,197 @@
+#include "tests/processes/process_cluster.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace savoryreach::processes
+{
+namespace
+{
+
+class whole_path_test : public testing::Test
+{
+protected:
+    void SetUp() override { cluster_.start(); }
+
+    /// Runs \p callers threads that each send \p jobs jobs one after another until each answer is
+    /// final, while \p disturb runs. Returns all answers by submission id.
+    std::map<std::string, caller_answer> send_jobs(int callers, int jobs, bool idempotent,
+                                                   const std::function<void()>& disturb)
+    {
+        std::mutex mutex;
+        std::map<std::string, caller_answer> answers;
+        std::vector<std::thread> threads;
+        for (int caller = 0; caller < callers; ++caller)
+        {
+            threads.emplace_back(
+                [&, caller]
+                {
+                    for (int n = 0; n < jobs; ++n)
+                    {
+                        const auto id = absl::StrCat("job-", caller, "-", n);
+                        const auto answer = cluster_.post_until_final(
+                            1 + caller % process_cluster::entries,
+                            make_job(id, tasks_per_job, run_ms, idempotent));
+                        const std::lock_guard lock(mutex);
+                        answers[id] = answer;
+                    }
+                });
+        }
+        disturb();
+        for (auto& it : threads)
+        {
+            it.join();
+        }
+        return answers;
+    }
+
+    void expect_whole(const std::string& id, const caller_answer& answer) const
+    {
+        ASSERT_EQ(answer.body["outputs"].size(), static_cast<unsigned>(tasks_per_job)) << id;
+        for (int n = 0; n < tasks_per_job; ++n)
+        {
+            EXPECT_EQ(answer.body["outputs"][n].asString(),
+                      absl::StrCat("done:run_ms=", run_ms, " ", id, " ", n));
+        }
+    }
+
+    void expect_no_second_start() const
+    {
+        for (const auto& [task, count] : cluster_.starts())
+        {
+            EXPECT_EQ(count, 1) << task;
+        }
+    }
+
+    static constexpr int tasks_per_job = 5;
+    static constexpr int run_ms = 60;
+    process_cluster cluster_;
+};
+
+// Guards against a copy of a submission that starts tasks again or gets another answer.
+TEST_F(whole_path_test, fifty_copies_at_once_get_one_answer_and_one_start_each_task)
+{
+    constexpr int copies = 50;
+    const auto job = make_job("swan-lake", 8, 100);
+    std::vector<caller_answer> answers(copies);
+    std::vector<std::thread> threads;
+    for (int n = 0; n < copies; ++n)
+    {
+        threads.emplace_back(
+            [&, n] { answers[n] = cluster_.post(1 + n % process_cluster::entries, job); });
+    }
+    for (auto& it : threads)
+    {
+        it.join();
+    }
+    for (const auto& it : answers)
+    {
+        EXPECT_TRUE(it.is_complete()) << it.status << it.body;
+        EXPECT_EQ(it.body["outputs"], answers[0].body["outputs"]);
+    }
+    const auto starts = cluster_.starts();
+    EXPECT_EQ(starts.size(), 8U);
+    expect_no_second_start();
+}
+
+// Guards against an id that is used with other content being answered with the first content.
+TEST_F(whole_path_test, other_content_under_the_same_id_is_refused)
+{
+    EXPECT_TRUE(cluster_.post(1, make_job("proof-1", 1, 10)).is_complete());
+    const auto answer = cluster_.post(2, make_job("proof-1", 2, 10));
+    EXPECT_EQ(answer.status, 409);
+    EXPECT_EQ(answer.body["error"], "content_conflict");
+}
+
+// Guards against claims lost with a leading keeper, and against entries that stay with it.
+TEST_F(whole_path_test, leading_keeper_killed_under_load_all_jobs_complete)
+{
+    const auto answers = send_jobs(8, 6, false,
+                                   [&]
+                                   {
+                                       const auto leader = cluster_.leader();
+                                       cluster_.kill_process(leader);
+                                       EXPECT_NE(cluster_.leader(), leader);
+                                       cluster_.start_process(leader);
+                                   });
+    for (const auto& [id, answer] : answers)
+    {
+        EXPECT_TRUE(answer.is_complete()) << id << answer.body;
+        expect_whole(id, answer);
+    }
+    expect_no_second_start();
+}
+
+// Guards against tasks started again by the entry that takes over a dead entry's jobs.
+TEST_F(whole_path_test, entry_killed_under_load_no_task_starts_twice)
+{
+    const auto answers = send_jobs(8, 6, false,
+                                   [&]
+                                   {
+                                       while (cluster_.starts().empty())
+                                       {
+                                           std::this_thread::yield();
+                                       }
+                                       cluster_.kill_process("entry-1");
+                                       cluster_.start_process("entry-1");
+                                   });
+    for (const auto& [id, answer] : answers)
+    {
+        EXPECT_TRUE(answer.is_complete() || answer.body["error"] == "answer_not_held")
+            << id << answer.body;
+    }
+    expect_no_second_start();
+}
+
+// Guards against a second start of what may have run on a lost host, and against a partial answer.
+TEST_F(whole_path_test, agent_killed_under_load_jobs_complete_or_fail_with_outcome_unknown)
+{
+    const auto answers = send_jobs(8, 6, false,
+                                   [&]
+                                   {
+                                       while (cluster_.starts().empty())
+                                       {
+                                           std::this_thread::yield();
+                                       }
+                                       cluster_.kill_process("agent-1");
+                                       cluster_.start_process("agent-1");
+                                   });
+    for (const auto& [id, answer] : answers)
+    {
+        const bool unknown = answer.body["error"] == "outcome_unknown";
+        EXPECT_TRUE(answer.is_complete() || unknown) << id << answer.body;
+    }
+    expect_no_second_start();
+}
+
+// Guards against requests that a graceful shutdown cuts off.
+TEST_F(whole_path_test, rolling_restart_under_load_cuts_off_no_request)
+{
+    const auto answers = send_jobs(
+        6, 10, false,
+        [&]
+        {
+            for (const auto* name :
+                 {"keeper-1", "agent-1", "entry-1", "agent-2", "keeper-2", "entry-2", "keeper-3"})
+            {
+                EXPECT_EQ(cluster_.stop_process(name), 0) << name;
+                EXPECT_EQ(cluster_.log_lines_with(name, "event=drain_finished complete=true"), 1)
+                    << name;
+                cluster_.start_process(name);
+                cluster_.wait_ready(name);
+            }
+        });
+    for (const auto& [id, answer] : answers)
+    {
+        EXPECT_TRUE(answer.is_complete()) << id << answer.body;
+    }
+    expect_no_second_start();
+}
+
+} // namespace
+} // namespace savoryreach::processes
