Test the keepers on virtual time

Cause: elections, commits, leases, fences and membership changes fail only in combinations of crashes, partitions, slow disks and lost messages.

--- a/savoryreach/keeper/replicator.cpp
+++ b/savoryreach/keeper/replicator.cpp
@@ -63,7 +63,12 @@
     }
     for (auto& [name, it] : peers_)
     {
-        if (it.snapshot && now >= it.snapshot->resend_at)
+        if (it.snapshot && is_silent(it))
+        {
+            it.snapshot.reset();
+            it.next_index = it.match_index + 1;
+        }
+        else if (it.snapshot && now >= it.snapshot->resend_at)
         {
             send_chunk(name, it);
         }
@@ -102,8 +107,8 @@
     const auto previous = it.probing ? it.next_index - 1 : it.match_index;
     if (previous + 1 < log_.first_index())
     {
-        begin_snapshot(name, it);
         send_append(name, it, 0, 0, false);
+        begin_snapshot(name, it);
         return;
     }
     send_append(name, it, previous, commit_index, false);
@@ -202,6 +207,12 @@
 
 void replicator::begin_snapshot(const std::string& name, peer& it)
 {
+    // A snapshot for a silent keeper would hold memory and be outdated when the keeper returns. It
+    // begins when the keeper has answered a round.
+    if (is_silent(it))
+    {
+        return;
+    }
     const auto snapshot = make_snapshot_();
     it.snapshot = std::make_unique<transfer>();
     it.snapshot->last_index = snapshot.last_index();
@@ -293,6 +304,11 @@
     return it == peers_.end() ? 0 : it->second.match_index;
 }
 
+bool replicator::is_silent(const peer& it) const
+{
+    return it.acked_round_sent + quorum_timeout < ports_.clock.now();
+}
+
 bool replicator::is_caught_up(const std::string& name, std::uint64_t index) const
 {
     const auto it = peers_.find(name);
--- a/savoryreach/keeper/replicator.hpp
+++ b/savoryreach/keeper/replicator.hpp
@@ -77,8 +77,10 @@
                      std::uint64_t commit_index, bool with_entries);
     void send_round_to(const std::string& name, peer& it, std::uint64_t commit_index);
     void send_entries_to(const std::string& name, peer& it, std::uint64_t commit_index);
+    /// Begins a snapshot for a keeper that answers.
     void begin_snapshot(const std::string& name, peer& it);
     void send_chunk(const std::string& name, peer& it);
+    [[nodiscard]] bool is_silent(const peer& it) const;
     [[nodiscard]] absl::Time sent_at(std::uint64_t round) const;
 
     std::string self_;
--- /dev/null
+++ b/tests/keeper/replicated_log_test.cpp
@@ -0,0 +1,291 @@
+#include "tests/keeper/keeper_cluster.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+namespace savoryreach::keeper
+{
+namespace
+{
+
+schema::keeper_request change(const std::string& name, bool remove = false)
+{
+    schema::keeper_request request;
+    request.mutable_change_keepers()->set_name(name);
+    request.mutable_change_keepers()->set_address("127.0.0.1:44");
+    request.mutable_change_keepers()->set_remove(remove);
+    return request;
+}
+
+std::string follower_of(keeper_cluster& cluster, const std::string& leader)
+{
+    for (const auto& name : cluster.running())
+    {
+        if (name != leader)
+        {
+            return name;
+        }
+    }
+    return "";
+}
+
+// Guards against clusters that never elect, and against two leaders in one term.
+TEST(replicated_log, fresh_cluster_elects_one_leader)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        keeper_cluster cluster(5, seed);
+        EXPECT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }, absl::Seconds(5)))
+            << "seed " << seed;
+    }
+}
+
+// Guards against slow failover: claims wait for the whole time without a leader.
+TEST(replicated_log, dead_leader_is_replaced_within_two_seconds)
+{
+    keeper_cluster cluster(3);
+    ASSERT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }));
+    const auto old = cluster.leader();
+    cluster.crash(old);
+    EXPECT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }, absl::Seconds(2)));
+}
+
+// Guards against acknowledging an entry that is durable on a minority only.
+TEST(replicated_log, entry_synced_by_a_minority_is_not_committed)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    ASSERT_NE(epoch, 0U);
+    const auto leader = cluster.leader();
+    for (const auto& name : cluster.running())
+    {
+        if (name != leader)
+        {
+            cluster.disk(name).set_sync_delay(absl::InfiniteDuration());
+        }
+    }
+    const auto commit = cluster.core(leader).status().commit_index;
+    schema::keeper_request request;
+    request.mutable_register_agent()->set_name("a1");
+    const auto id = cluster.send("a1", leader, request);
+    cluster.run_for(absl::Seconds(2));
+    EXPECT_FALSE(cluster.reply(id).has_value());
+    EXPECT_LE(cluster.core(leader).status().commit_index, commit + 1);
+    EXPECT_EQ(cluster.core(leader).status().agents, 0U);
+}
+
+// Guards against counting the leader's own write before it is durable.
+TEST(replicated_log, leader_with_a_stuck_disk_commits_by_the_others)
+{
+    keeper_cluster cluster(3);
+    ASSERT_NE(cluster.join("e1", 1), 0U);
+    const auto leader = cluster.leader();
+    cluster.disk(leader).set_sync_delay(absl::InfiniteDuration());
+    const auto other = follower_of(cluster, leader);
+    cluster.disk(other).set_sync_delay(absl::InfiniteDuration());
+    schema::keeper_request request;
+    request.mutable_register_agent()->set_name("a1");
+    const auto id = cluster.send("a1", leader, request);
+    cluster.run_for(absl::Seconds(1));
+    EXPECT_FALSE(cluster.reply(id).has_value()) << "one of three has synced";
+}
+
+// Guards against stale reads and leases from a leader that was replaced on the other side of a
+// partition.
+TEST(replicated_log, isolated_leader_answers_nothing_after_its_lease)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    const auto leader = cluster.leader();
+    for (const auto& name : cluster.running())
+    {
+        if (name != leader)
+        {
+            cluster.network().cut(base::node_name(name), base::node_name(leader));
+            cluster.network().cut(base::node_name(leader), base::node_name(name));
+        }
+    }
+    cluster.run_for(absl::Milliseconds(450));
+    schema::keeper_request renewal;
+    renewal.mutable_renew_entry()->set_epoch(epoch);
+    schema::keeper_request view;
+    view.mutable_view();
+    schema::keeper_request fence;
+    fence.mutable_fence_info()->set_epoch(epoch);
+    std::vector<std::uint64_t> ids;
+    for (int i = 0; i < 30; ++i)
+    {
+        for (const auto& request : {renewal, view, fence})
+        {
+            ids.push_back(cluster.send("e1", leader, request));
+        }
+        cluster.run_for(absl::Milliseconds(100));
+    }
+    for (const auto id : ids)
+    {
+        EXPECT_FALSE(cluster.reply(id).has_value());
+    }
+    EXPECT_NE(cluster.core(leader).status().role, "leader") << "check-quorum";
+    EXPECT_NE(cluster.leader(), "") << "the majority elected another leader";
+    cluster.network().mend_all();
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.is_even(); }));
+}
+
+// Guards against losing acknowledged claims, and against keeping unacknowledged ones in a way that
+// makes replicas differ, when all keepers lose power at once.
+TEST(replicated_log, restart_with_lost_unsynced_writes_keeps_what_was_answered)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        keeper_cluster cluster(3, seed);
+        const auto epoch = cluster.join("e1", 1);
+        std::vector<std::uint64_t> ids;
+        for (int i = 0; i < 20; ++i)
+        {
+            schema::keeper_request request;
+            request.mutable_register_agent()->set_name(absl::StrCat("a", i));
+            ids.push_back(cluster.send("client", cluster.leader(), request));
+            cluster.run_for(absl::Microseconds(700));
+        }
+        absl::btree_map<std::string, std::uint64_t> answered;
+        for (int i = 0; i < 20; ++i)
+        {
+            if (const auto it = cluster.reply(ids[i]))
+            {
+                answered[absl::StrCat("a", i)] = it->register_agent().incarnation();
+            }
+        }
+        EXPECT_FALSE(answered.empty());
+        EXPECT_LT(answered.size(), 20U) << "the crash must hit writes in flight";
+        for (const std::string name : {"k1", "k2", "k3"})
+        {
+            cluster.crash(name);
+            cluster.start(name);
+        }
+        for (const auto& [name, incarnation] : answered)
+        {
+            EXPECT_EQ(cluster.register_agent(name, 0), incarnation) << "seed " << seed;
+        }
+        EXPECT_EQ(cluster.join("e1", 1), epoch);
+    }
+}
+
+// Guards against a learner that counts towards the quorum before it holds the log: with it, one
+// more loss would lose committed entries or the quorum.
+TEST(replicated_log, second_keeper_lost_right_after_a_repair_loses_nothing)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    ASSERT_EQ(cluster.claim(epoch, "job").outcome(), schema::claim_granted);
+    const auto lost = follower_of(cluster, cluster.leader());
+    cluster.crash(lost);
+    ASSERT_TRUE(cluster.ask("operator", change(lost, true))->change_keepers().accepted());
+    // The replacement's disk is so slow that it can't have caught up.
+    cluster.start("k4", true);
+    cluster.disk("k4").set_sync_delay(absl::InfiniteDuration());
+    ASSERT_TRUE(cluster.ask("operator", change("k4"))->change_keepers().accepted());
+    cluster.run_for(absl::Seconds(2));
+    EXPECT_EQ(cluster.core("k4").status().role, "learner");
+    const auto leader = cluster.leader();
+    for (const auto& name : cluster.running())
+    {
+        if (name != leader && name != "k4")
+        {
+            cluster.crash(name);
+            cluster.run_for(absl::Seconds(2));
+            EXPECT_EQ(cluster.leader(), "") << "one of two voters is no quorum";
+            cluster.start(name);
+            break;
+        }
+    }
+    EXPECT_EQ(cluster.claim(epoch, "job", "other").outcome(), schema::claim_conflict);
+}
+
+// Guards against a replacement that never becomes a voter.
+TEST(replicated_log, replacement_becomes_voter_when_caught_up)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    ASSERT_EQ(cluster.claim(epoch, "job").outcome(), schema::claim_granted);
+    const auto lost = follower_of(cluster, cluster.leader());
+    cluster.crash(lost);
+    cluster.start("k4", true);
+    ASSERT_TRUE(cluster.ask("operator", change(lost, true))->change_keepers().accepted());
+    ASSERT_TRUE(cluster.ask("operator", change("k4"))->change_keepers().accepted());
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.core("k4").status().role == "follower"; }));
+    cluster.crash(follower_of(cluster, "k4"));
+    EXPECT_EQ(cluster.claim(epoch, "job", "other").outcome(), schema::claim_conflict)
+        << "k4 and one other keeper are a quorum of three";
+}
+
+// Guards against a leader that keeps leading after its own removal.
+TEST(replicated_log, removed_leader_steps_down)
+{
+    keeper_cluster cluster(3);
+    ASSERT_NE(cluster.join("e1", 1), 0U);
+    const auto old = cluster.leader();
+    ASSERT_TRUE(cluster.ask("operator", change(old, true))->change_keepers().accepted());
+    EXPECT_TRUE(cluster.run_until(
+        [&]
+        {
+            const auto now = cluster.leader();
+            return !now.empty() && now != old;
+        }));
+    EXPECT_EQ(cluster.core(old).status().role, "learner");
+}
+
+// Guards against replaying a long log, and against sending a snapshot again and again.
+TEST(replicated_log, keeper_restarted_after_500_changes_gets_one_snapshot)
+{
+    keeper_cluster cluster(3, 1, 100);
+    const auto epoch = cluster.join("e1", 1);
+    const auto lost = follower_of(cluster, cluster.leader());
+    cluster.crash(lost);
+    for (int i = 0; i < 500; ++i)
+    {
+        ASSERT_EQ(cluster.claim(epoch, absl::StrCat("job", i)).outcome(), schema::claim_granted);
+    }
+    cluster.start(lost);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.is_even(); }));
+    EXPECT_EQ(cluster.events().count("snapshot_installed"), 1);
+    EXPECT_EQ(cluster.core(lost).status().claims, 500U);
+    EXPECT_EQ(cluster.core(lost).state_hash(), cluster.core(cluster.leader()).state_hash());
+    // What it installed must be durable: it restarts from its own disk.
+    cluster.run_for(absl::Seconds(1));
+    cluster.crash(lost);
+    cluster.start(lost);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.is_even(); }));
+    EXPECT_EQ(cluster.events().count("snapshot_installed"), 1);
+}
+
+// Guards against votes and acknowledgements that rest on a failed disk.
+TEST(replicated_log, keeper_with_a_failed_disk_neither_votes_nor_leads)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    const auto leader = cluster.leader();
+    cluster.disk(leader).fail_syncs();
+    EXPECT_EQ(cluster.claim(epoch, "job").outcome(), schema::claim_granted);
+    EXPECT_EQ(cluster.core(leader).status().role, "failed");
+    EXPECT_NE(cluster.leader(), leader);
+    // With one more keeper down, the failed one must not make a quorum.
+    cluster.crash(cluster.leader());
+    cluster.run_for(absl::Seconds(5));
+    EXPECT_EQ(cluster.leader(), "");
+}
+
+// Guards against drains that leave the cluster without a leader.
+TEST(replicated_log, draining_leader_hands_over)
+{
+    keeper_cluster cluster(3);
+    ASSERT_NE(cluster.join("e1", 1), 0U);
+    const auto old = cluster.leader();
+    cluster.core(old).begin_drain();
+    EXPECT_FALSE(cluster.core(old).is_drained());
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.core(old).is_drained(); }));
+    EXPECT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }, absl::Seconds(1)));
+    EXPECT_NE(cluster.leader(), old);
+}
+
+} // namespace
+} // namespace savoryreach::keeper
