--- a/tests/config/sources.cmake
+++ b/tests/config/sources.cmake
@@ -1,1 +1,3 @@
-# Tests of this folder.
+savoryreach_test(config_test
+  config/declaration_test.cpp
+  config/effective_config_test.cpp)
