--- a/tests/entry/sources.cmake
+++ b/tests/entry/sources.cmake
@@ -1,1 +1,2 @@
 # Tests of this folder.
+include(entry/policy_sources.cmake)
