--- a/savoryreach/entry/endpoint_standing.cpp
+++ b/savoryreach/entry/endpoint_standing.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t max_suspicions = 8;
 constexpr std::size_t max_jobs = 4096;
 
+/// An endpoint that failed is used last for this time after its last failure.
+constexpr absl::Duration penalty_time = absl::Milliseconds(500);
+/// Bounds the work of one call.
+constexpr std::size_t penalties_expired = 4;
 constexpr absl::Duration first_backoff = absl::Seconds(1);
 constexpr absl::Duration max_backoff = absl::Seconds(60);
 /// A probe without a result is repeated after this time.
@@ -51,6 +55,7 @@
 void endpoint_standing::left(id endpoint)
 {
     due_.erase({records_[endpoint].due, endpoint});
+    penalised_.erase({records_[endpoint].penalty_end, endpoint});
     records_[endpoint] = record{};
 }
 
@@ -70,17 +75,35 @@
     return jobs_[job];
 }
 
-void endpoint_standing::update_penalty(record& record) const
+void endpoint_standing::update_penalty(id endpoint, absl::Time end)
 {
-    int jobs = 0;
-    for (const suspicion& it : record.suspicions)
+    record& r = records_[endpoint];
+    const auto jobs = std::count_if(r.suspicions.begin(), r.suspicions.end(),
+                                    [](const suspicion& it) { return it.counts; });
+    penalised_.erase({r.penalty_end, endpoint});
+    r.penalty = std::exp2(static_cast<double>(jobs));
+    r.penalty_end = end;
+    if (jobs > 0)
+    {
+        penalised_.emplace(end, endpoint);
+    }
+}
+
+endpoint_standing::id_list endpoint_standing::expire_penalties(absl::Time now)
+{
+    id_list ended;
+    while (!penalised_.empty() && penalised_.begin()->first <= now &&
+           ended.size() < penalties_expired)
     {
-        jobs += it.counts ? 1 : 0;
+        const id endpoint = penalised_.begin()->second;
+        penalised_.erase(penalised_.begin());
+        records_[endpoint].penalty = 1;
+        ended.push_back(endpoint);
     }
-    record.penalty = std::exp2(jobs);
+    return ended;
 }
 
-void endpoint_standing::set_counts(id endpoint, std::uint64_t job, bool counts)
+void endpoint_standing::set_counts(id endpoint, std::uint64_t job, bool counts, absl::Time now)
 {
     record& r = records_[endpoint];
     for (suspicion& it : r.suspicions)
@@ -90,7 +113,7 @@
             it.counts = counts;
         }
     }
-    update_penalty(r);
+    update_penalty(endpoint, now + penalty_time);
 }
 
 void endpoint_standing::set_due(id endpoint, absl::Time due)
@@ -109,7 +132,7 @@
     r.probing = false;
     r.successes = 0;
     r.suspicions.clear();
-    update_penalty(r);
+    update_penalty(endpoint, absl::InfinitePast());
 }
 
 void endpoint_standing::evaluate(id endpoint, absl::Time now,
@@ -150,7 +173,7 @@
     else if (!r.suspicions.empty() && !r.set_aside)
     {
         r.suspicions.clear();
-        update_penalty(r);
+        update_penalty(endpoint, absl::InfinitePast());
         changed.push_back(endpoint);
     }
     if (r.successes == reset_successes && !r.set_aside)
@@ -174,7 +197,7 @@
         // The job can succeed, so its earlier failures count again.
         for (const id other : j.failed_on)
         {
-            set_counts(other, job, true);
+            set_counts(other, job, true, now);
             evaluate(other, now, may_set_aside);
             changed.push_back(other);
         }
@@ -235,11 +258,11 @@
         changed.push_back(endpoint);
         for (const id other : changed)
         {
-            set_counts(other, job, false);
+            set_counts(other, job, false, now);
         }
         return changed;
     }
-    update_penalty(r);
+    update_penalty(endpoint, now + penalty_time);
     evaluate(endpoint, now, may_set_aside);
     return changed;
 }
--- a/savoryreach/entry/endpoint_standing.hpp
+++ b/savoryreach/entry/endpoint_standing.hpp
@@ -42,13 +42,17 @@
                                                absl::FunctionRef<bool(id)> is_usable);
     void probe_started(id endpoint, absl::Time now);
 
+    /// Ends the penalties that are over; returns their endpoints, at most a few for each call.
+    [[nodiscard]] id_list expire_penalties(absl::Time now);
+
     /// Readmits the endpoint whose probe is due first; nullopt when none is set aside.
     std::optional<id> readmit_first();
 
     [[nodiscard]] bool is_set_aside(id endpoint) const { return records_[endpoint].set_aside; }
     [[nodiscard]] std::size_t set_aside_count() const { return due_.size(); }
     /// Factor on the expected completion time; 2 for each job that failed here since the last
-    /// success, so that fast failures attract no work.
+    /// success, so that fast failures attract no work. Ends some time after the last failure,
+    /// because an endpoint that gets no work cannot show that it is healthy.
     [[nodiscard]] double penalty(id endpoint) const { return records_[endpoint].penalty; }
 
 private:
@@ -63,6 +67,7 @@
     {
         std::vector<suspicion> suspicions; ///< failures since the last success
         double penalty = 1;
+        absl::Time penalty_end = absl::InfinitePast(); ///< key in penalised_, while penalty > 1
         std::uint32_t successes = 0; ///< in a row, up to the number that resets the backoff
         bool set_aside = false;
         bool probing = false;
@@ -78,16 +83,17 @@
 
     job_record& job_at(std::uint64_t job);
     void note_failure(id endpoint, std::uint64_t job, job_record& record);
-    void set_counts(id endpoint, std::uint64_t job, bool counts);
-    void update_penalty(record& record) const;
+    void set_counts(id endpoint, std::uint64_t job, bool counts, absl::Time now);
+    void update_penalty(id endpoint, absl::Time end);
     void evaluate(id endpoint, absl::Time now, absl::FunctionRef<bool(id)> may_set_aside);
     void set_due(id endpoint, absl::Time due);
     void readmit(id endpoint);
 
-    std::vector<record> records_;                         ///< by endpoint
-    absl::flat_hash_map<std::uint64_t, job_record> jobs_; ///< jobs with a failure
-    std::deque<std::uint64_t> job_order_;                 ///< oldest first, for the bound
-    absl::btree_set<std::pair<absl::Time, id>> due_;      ///< endpoints set aside
+    std::vector<record> records_;                          ///< by endpoint
+    absl::flat_hash_map<std::uint64_t, job_record> jobs_;  ///< jobs with a failure
+    std::deque<std::uint64_t> job_order_;                  ///< oldest first, for the bound
+    absl::btree_set<std::pair<absl::Time, id>> due_;       ///< endpoints set aside
+    absl::btree_set<std::pair<absl::Time, id>> penalised_; ///< endpoints with a penalty
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/fair_queue.cpp
+++ b/savoryreach/entry/fair_queue.cpp
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <compare>
+#include <tuple>
 #include <vector>
 
 namespace savoryreach::entry
@@ -27,7 +27,11 @@
     absl::Time answer_by;
     job_number number{};
 
-    friend std::strong_ordering operator<=>(const job_key&, const job_key&) = default;
+    friend bool operator<(const job_key& a, const job_key& b)
+    {
+        return std::tie(a.inverse_urgency, a.answer_by, a.number) <
+               std::tie(b.inverse_urgency, b.answer_by, b.number);
+    }
 };
 
 /// The jobs of one team within one kind.
--- a/savoryreach/entry/kind_estimates.cpp
+++ b/savoryreach/entry/kind_estimates.cpp
@@ -121,6 +121,11 @@
     --listed_;
 }
 
+double kind_estimates::seconds_of(const rank& position)
+{
+    return std::exp2(position.bucket / rank_resolution) * 1e-6;
+}
+
 bool kind_estimates::is_listed(id endpoint) const
 {
     return endpoint < cells_.size() && cells_[endpoint].listed;
--- a/savoryreach/entry/kind_estimates.hpp
+++ b/savoryreach/entry/kind_estimates.hpp
@@ -57,6 +57,8 @@
     void unlist(id endpoint);
     [[nodiscard]] bool is_listed(id endpoint) const;
     [[nodiscard]] bool has_listed() const { return listed_ > 0; }
+    /// The expected time that a rank stands for, to the resolution of the ranking.
+    [[nodiscard]] static double seconds_of(const rank& position);
     [[nodiscard]] const std::vector<ranking>& rankings() const { return rankings_; }
 
     void start(id endpoint);
--- a/savoryreach/entry/placement.cpp
+++ b/savoryreach/entry/placement.cpp
@@ -154,6 +154,10 @@
     state& s = *state_;
     s.latest = std::max(s.latest, now);
     const std::uint32_t kind = s.kind_of(request.kind);
+    for (const state::id it : s.standing.expire_penalties(now))
+    {
+        s.refresh(it);
+    }
     auto chosen = s.find_probe(request, kind, now);
     if (!chosen)
     {
--- a/savoryreach/entry/placement_state.cpp
+++ b/savoryreach/entry/placement_state.cpp
@@ -2,21 +2,41 @@
 
 #include <algorithm>
 #include <cassert>
-#include <limits>
+#include <cmath>
 
 namespace savoryreach::entry
 {
 namespace
 {
 
-/// Best-ranked endpoints examined in each data centre.
-constexpr int candidates_examined = 4;
 /// A probe may fail a real task, so at most one start in 20 is a probe: half of the default retry
 /// budget of 10 %.
 constexpr std::uint32_t starts_per_probe = 20;
 /// A start now must take this many times as long as waiting before the task waits; below that the
 /// error of the estimates decides.
 constexpr double wait_advantage = 1.5;
+/// Relative error of an estimated run time; one bucket of the ranking is 9 %.
+constexpr double estimate_error = 0.1;
+
+/// The best endpoint of one data centre; times in seconds.
+struct candidate
+{
+    std::uint32_t endpoint = 0;
+    std::uint64_t last_use = 0;
+    double delay = 0;       ///< one way
+    double in_endpoint = 0; ///< expected wait and run
+
+    /// Within the error of the estimates the smaller delay decides, then whose turn it is.
+    [[nodiscard]] bool is_better_than(const candidate& other) const
+    {
+        const double difference = in_endpoint - other.in_endpoint;
+        if (std::abs(difference) > estimate_error * std::max(in_endpoint, other.in_endpoint))
+        {
+            return in_endpoint + delay < other.in_endpoint + other.delay;
+        }
+        return delay < other.delay || (delay == other.delay && last_use < other.last_use);
+    }
+};
 
 double seconds(absl::Duration value)
 {
@@ -205,40 +225,45 @@
 {
     const kind_estimates& estimates = kinds[kind].estimates;
     const double declared = seconds(request.declared_run);
-    std::optional<id> best;
-    double best_time = std::numeric_limits<double>::infinity();
+    const auto has_failed = [&](id endpoint)
+    {
+        const auto& failed = request.failed_here;
+        return !failed.empty() &&
+               std::find(failed.begin(), failed.end(), endpoints[endpoint].agent) != failed.end();
+    };
+    std::optional<candidate> best;
     for (std::uint32_t dc = 0; dc < estimates.rankings().size(); ++dc)
     {
-        const double delay = delay_to(request, dc);
-        int examined = 0;
-        for (const auto& position : estimates.rankings()[dc])
+        // Within a data centre the ranking decides: endpoints of one bucket take turns.
+        const auto& ranking = estimates.rankings()[dc];
+        const auto first = std::find_if(ranking.begin(), ranking.end(),
+                                        [&](const auto& it) { return !has_failed(it.endpoint); });
+        if (first == ranking.end())
         {
-            const auto& failed = request.failed_here;
-            if (!failed.empty() && std::find(failed.begin(), failed.end(),
-                                             endpoints[position.endpoint].agent) != failed.end())
-            {
-                continue;
-            }
-            const double time = delay + estimates.expected_at(position.endpoint, declared) *
-                                            load_factor(position.endpoint) *
-                                            standing.penalty(position.endpoint);
-            if (time < best_time)
-            {
-                best = position.endpoint;
-                best_time = time;
-            }
-            if (++examined == candidates_examined)
-            {
-                break;
-            }
+            continue;
         }
+        // Bucket 0: listed before anything was learned about the kind.
+        const candidate it{first->endpoint, first->last_use, delay_to(request, dc),
+                           first->bucket > 0 ? kind_estimates::seconds_of(*first)
+                                             : estimates.expected_at(first->endpoint, declared)};
+        if (!best || it.is_better_than(*best))
+        {
+            best = it;
+        }
+    }
+    if (!best)
+    {
+        return std::nullopt;
     }
-    if (best && estimates.completion_by_waiting(request.waiting_tasks, best_time / wait_advantage) <
-                    best_time)
+    const id chosen = best->endpoint;
+    const double best_time = best->delay + estimates.expected_at(chosen, declared) *
+                                               load_factor(chosen) * standing.penalty(chosen);
+    if (estimates.completion_by_waiting(request.waiting_tasks, best_time / wait_advantage) <
+        best_time)
     {
         return std::nullopt;
     }
-    return best;
+    return chosen;
 }
 
 std::optional<placement::state::id> placement::state::find_probe(const placement_request& request,
--- a/tests/entry/fair_queue_test.cpp
+++ b/tests/entry/fair_queue_test.cpp
@@ -179,10 +179,10 @@
     add(1, "proof", "a", 3, 1, 10);
     add(2, "proof", "a", 3, 1, 5);
     add(3, "proof", "a", 9, 2, 50);
-    std::vector<std::uint64_t> order;
-    for (int i = 0; i < 5; ++i)
+    std::vector<std::uint64_t> order(5);
+    for (std::uint64_t& it : order)
     {
-        order.push_back(next());
+        it = next();
     }
     EXPECT_EQ(order, (std::vector<std::uint64_t>{3, 3, 2, 1, 0}));
 }
--- a/tests/entry/policy_sources.cmake
+++ b/tests/entry/policy_sources.cmake
@@ -1,2 +1,4 @@
 savoryreach_test(policy_test
-  entry/fair_queue_test.cpp)
+  entry/admission_test.cpp
+  entry/fair_queue_test.cpp
+  entry/placement_test.cpp)
