Raise the evidence limit while many jobs fail everywhere

Cause: three single-task jobs in a row that can never run set a healthy endpoint aside by chance. Change: the number of failures in a row follows the usual failure rate, 3 to 10.

--- a/savoryreach/entry/endpoint_standing.cpp
+++ b/savoryreach/entry/endpoint_standing.cpp
@@ -8,8 +8,14 @@
 namespace
 {
 
-/// Failures of this many different jobs without a success set an endpoint aside.
-constexpr double evidence_limit = 3;
+/// Failures of so many different jobs without a success set an endpoint aside. The number rises
+/// within these bounds while many jobs fail everywhere, so that a healthy endpoint is set aside by
+/// chance at most once in 100,000 starts.
+constexpr double least_evidence = 3;
+constexpr double most_evidence = 10;
+constexpr double chance_of_error = 1e-5;
+/// Attempts that the usual failure rate remembers.
+constexpr double failure_rate_memory = 256;
 /// A further failure of the same job counts this much once the job has proved itself elsewhere, so
 /// that a single large job detects a failing endpoint after 9 failures.
 constexpr double repeated_weight = 0.25;
@@ -17,7 +23,7 @@
 constexpr std::size_t proof_endpoints = 3;
 /// Bounds of the records kept for one job, one endpoint and all jobs.
 constexpr std::size_t max_endpoints_per_job = 16;
-constexpr std::size_t max_suspicions = 8;
+constexpr std::size_t max_suspicions = 10;
 constexpr std::size_t max_jobs = 4096;
 
 /// An endpoint that failed is used last for this time after its last failure.
@@ -135,6 +141,22 @@
     update_penalty(endpoint, absl::InfinitePast());
 }
 
+void endpoint_standing::count_result(id endpoint, bool failed)
+{
+    // A failing endpoint counts once, so that it does not raise the limit for itself.
+    if (records_[endpoint].suspicions.empty() && !records_[endpoint].set_aside)
+    {
+        failure_rate_ += ((failed ? 1.0 : 0.0) - failure_rate_) / failure_rate_memory;
+    }
+}
+
+double endpoint_standing::evidence_limit() const
+{
+    const double rate = std::clamp(failure_rate_, 1e-6, 0.99);
+    return std::clamp(std::ceil(std::log(chance_of_error) / std::log(rate)), least_evidence,
+                      most_evidence);
+}
+
 void endpoint_standing::evaluate(id endpoint, absl::Time now,
                                  absl::FunctionRef<bool(id)> may_set_aside)
 {
@@ -148,7 +170,7 @@
     {
         evidence += it.counts ? it.weight : 0;
     }
-    if (evidence < evidence_limit || !may_set_aside(endpoint))
+    if (evidence < evidence_limit() || !may_set_aside(endpoint))
     {
         return;
     }
@@ -163,6 +185,7 @@
                                                         absl::FunctionRef<bool(id)> may_set_aside)
 {
     id_list changed;
+    count_result(endpoint, false);
     record& r = records_[endpoint];
     r.successes = std::min(r.successes + 1, reset_successes);
     if (r.set_aside && r.probing)
@@ -230,6 +253,7 @@
                                                      absl::FunctionRef<bool(id)> may_set_aside)
 {
     id_list changed{endpoint};
+    count_result(endpoint, true);
     job_record& j = job_at(job);
     record& r = records_[endpoint];
     r.successes = 0;
--- a/savoryreach/entry/endpoint_standing.hpp
+++ b/savoryreach/entry/endpoint_standing.hpp
@@ -86,6 +86,10 @@
     void set_counts(id endpoint, std::uint64_t job, bool counts, absl::Time now);
     void update_penalty(id endpoint, absl::Time end);
     void evaluate(id endpoint, absl::Time now, absl::FunctionRef<bool(id)> may_set_aside);
+    /// Counts one result towards the usual failure rate.
+    void count_result(id endpoint, bool failed);
+    /// Failures in a row, of different jobs, that set an endpoint aside.
+    [[nodiscard]] double evidence_limit() const;
     void set_due(id endpoint, absl::Time due);
     void readmit(id endpoint);
 
@@ -94,6 +98,8 @@
     std::deque<std::uint64_t> job_order_;                  ///< oldest first, for the bound
     absl::btree_set<std::pair<absl::Time, id>> due_;       ///< endpoints set aside
     absl::btree_set<std::pair<absl::Time, id>> penalised_; ///< endpoints with a penalty
+    /// Part of the attempts that fail at endpoints without suspicion; decaying mean.
+    double failure_rate_ = 0;
 };
 
 } // namespace savoryreach::entry
--- a/tests/entry/placement_test.cpp
+++ b/tests/entry/placement_test.cpp
@@ -212,6 +212,25 @@
     }
 }
 
+// Guards against healthy endpoints that are set aside by chance while many jobs fail everywhere.
+TEST_F(placement_test, many_failing_jobs_of_one_task_harm_no_endpoint)
+{
+    join_fleet(10, 0.1);
+    run(200, 10, 20);
+    for (std::uint64_t job = 3000000; job < 3003000; ++job)
+    {
+        while (start(job, 100, random_.below(4) == 0).empty())
+        {
+            end_one();
+        }
+        if (in_flight_.size() > 20)
+        {
+            end_one();
+        }
+        ASSERT_EQ(count_aside(), 0) << "job " << job;
+    }
+}
+
 // Guards against a system-wide fault that takes the whole fleet out of service.
 TEST_F(placement_test, at_most_30_percent_are_set_aside)
 {
