--- a/savoryreach/entry/endpoint_standing.cpp
+++ b/savoryreach/entry/endpoint_standing.cpp
@@ -8,8 +8,14 @@
 namespace
 {
 
-/// Failures of this many different jobs without a success set an endpoint aside.
-constexpr double evidence_limit = 3;
+/// Failures of so many different jobs without a success set an endpoint aside. The number rises
+/// within these bounds while many jobs fail everywhere, so that a healthy endpoint is set aside by
+/// chance at most once in 100,000 starts.
+constexpr double least_evidence = 3;
+constexpr double most_evidence = 10;
+constexpr double chance_of_error = 1e-5;
+/// Attempts that the usual failure rate remembers.
+constexpr double failure_rate_memory = 256;
 /// A further failure of the same job counts this much once the job has proved itself elsewhere, so
 /// that a single large job detects a failing endpoint after 9 failures.
 constexpr double repeated_weight = 0.25;
@@ -17,9 +23,13 @@
 constexpr std::size_t proof_endpoints = 3;
 /// Bounds of the records kept for one job, one endpoint and all jobs.
 constexpr std::size_t max_endpoints_per_job = 16;
-constexpr std::size_t max_suspicions = 8;
+constexpr std::size_t max_suspicions = 10;
 constexpr std::size_t max_jobs = 4096;
 
+/// An endpoint that failed is used last for this time after its last failure.
+constexpr absl::Duration penalty_time = absl::Milliseconds(500);
+/// Bounds the work of one call.
+constexpr std::size_t penalties_expired = 4;
 constexpr absl::Duration first_backoff = absl::Seconds(1);
 constexpr absl::Duration max_backoff = absl::Seconds(60);
 /// A probe without a result is repeated after this time.
@@ -51,6 +61,7 @@
 void endpoint_standing::left(id endpoint)
 {
     due_.erase({records_[endpoint].due, endpoint});
+    penalised_.erase({records_[endpoint].penalty_end, endpoint});
     records_[endpoint] = record{};
 }
 
@@ -70,17 +81,35 @@
     return jobs_[job];
 }
 
-void endpoint_standing::update_penalty(record& record) const
+void endpoint_standing::update_penalty(id endpoint, absl::Time end)
 {
-    int jobs = 0;
-    for (const suspicion& it : record.suspicions)
+    record& r = records_[endpoint];
+    const auto jobs = std::count_if(r.suspicions.begin(), r.suspicions.end(),
+                                    [](const suspicion& it) { return it.counts; });
+    penalised_.erase({r.penalty_end, endpoint});
+    r.penalty = std::exp2(static_cast<double>(jobs));
+    r.penalty_end = end;
+    if (jobs > 0)
     {
-        jobs += it.counts ? 1 : 0;
+        penalised_.emplace(end, endpoint);
     }
-    record.penalty = std::exp2(jobs);
 }
 
-void endpoint_standing::set_counts(id endpoint, std::uint64_t job, bool counts)
+endpoint_standing::id_list endpoint_standing::expire_penalties(absl::Time now)
+{
+    id_list ended;
+    while (!penalised_.empty() && penalised_.begin()->first <= now &&
+           ended.size() < penalties_expired)
+    {
+        const id endpoint = penalised_.begin()->second;
+        penalised_.erase(penalised_.begin());
+        records_[endpoint].penalty = 1;
+        ended.push_back(endpoint);
+    }
+    return ended;
+}
+
+void endpoint_standing::set_counts(id endpoint, std::uint64_t job, bool counts, absl::Time now)
 {
     record& r = records_[endpoint];
     for (suspicion& it : r.suspicions)
@@ -90,7 +119,7 @@
             it.counts = counts;
         }
     }
-    update_penalty(r);
+    update_penalty(endpoint, now + penalty_time);
 }
 
 void endpoint_standing::set_due(id endpoint, absl::Time due)
@@ -109,7 +138,23 @@
     r.probing = false;
     r.successes = 0;
     r.suspicions.clear();
-    update_penalty(r);
+    update_penalty(endpoint, absl::InfinitePast());
+}
+
+void endpoint_standing::count_result(id endpoint, bool failed)
+{
+    // A failing endpoint counts once, so that it does not raise the limit for itself.
+    if (records_[endpoint].suspicions.empty() && !records_[endpoint].set_aside)
+    {
+        failure_rate_ += ((failed ? 1.0 : 0.0) - failure_rate_) / failure_rate_memory;
+    }
+}
+
+double endpoint_standing::evidence_limit() const
+{
+    const double rate = std::clamp(failure_rate_, 1e-6, 0.99);
+    return std::clamp(std::ceil(std::log(chance_of_error) / std::log(rate)), least_evidence,
+                      most_evidence);
 }
 
 void endpoint_standing::evaluate(id endpoint, absl::Time now,
@@ -125,7 +170,7 @@
     {
         evidence += it.counts ? it.weight : 0;
     }
-    if (evidence < evidence_limit || !may_set_aside(endpoint))
+    if (evidence < evidence_limit() || !may_set_aside(endpoint))
     {
         return;
     }
@@ -140,6 +185,7 @@
                                                         absl::FunctionRef<bool(id)> may_set_aside)
 {
     id_list changed;
+    count_result(endpoint, false);
     record& r = records_[endpoint];
     r.successes = std::min(r.successes + 1, reset_successes);
     if (r.set_aside && r.probing)
@@ -150,7 +196,7 @@
     else if (!r.suspicions.empty() && !r.set_aside)
     {
         r.suspicions.clear();
-        update_penalty(r);
+        update_penalty(endpoint, absl::InfinitePast());
         changed.push_back(endpoint);
     }
     if (r.successes == reset_successes && !r.set_aside)
@@ -174,7 +220,7 @@
         // The job can succeed, so its earlier failures count again.
         for (const id other : j.failed_on)
         {
-            set_counts(other, job, true);
+            set_counts(other, job, true, now);
             evaluate(other, now, may_set_aside);
             changed.push_back(other);
         }
@@ -207,6 +253,7 @@
                                                      absl::FunctionRef<bool(id)> may_set_aside)
 {
     id_list changed{endpoint};
+    count_result(endpoint, true);
     job_record& j = job_at(job);
     record& r = records_[endpoint];
     r.successes = 0;
@@ -235,11 +282,11 @@
         changed.push_back(endpoint);
         for (const id other : changed)
         {
-            set_counts(other, job, false);
+            set_counts(other, job, false, now);
         }
         return changed;
     }
-    update_penalty(r);
+    update_penalty(endpoint, now + penalty_time);
     evaluate(endpoint, now, may_set_aside);
     return changed;
 }
