Add settings of the daemons and their reference page

Cause: a daemon must refuse a wrong settings file at start and name every error in it at once. Change: one table of fields drives defaults, checks and docs/settings.md; parse_settings and read_settings for the three daemons. The explanation's test now checks the agent and return parts one by one: their sum did not notice an unbounded part.

--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -1,1 +1,3 @@
-target_sources(savoryreach PRIVATE)
+target_sources(savoryreach PRIVATE
+  daemon/settings.cpp
+  daemon/settings_table.cpp)
--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,1 +1,3 @@
-# Tests of this folder.
+savoryreach_test(daemon_test
+  daemon/settings_test.cpp)
+target_compile_definitions(daemon_test PRIVATE SAVORYREACH_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/tests/observe/timeline_test.cpp
+++ b/tests/observe/timeline_test.cpp
@@ -113,7 +113,8 @@
     EXPECT_EQ(it->waiting_at_entry, absl::Milliseconds(7 + 10));
     EXPECT_EQ(it->run, absl::Milliseconds(20 + 100));
     // The agents' clocks are ahead, so the rest of each round trip is bounded by the round trip.
-    EXPECT_EQ(it->waiting_at_agent + it->returning, absl::Milliseconds(28 + 20));
+    EXPECT_EQ(it->waiting_at_agent, absl::Milliseconds(28 + 20));
+    EXPECT_EQ(it->returning, absl::ZeroDuration());
     EXPECT_EQ(it->answer, absl::Milliseconds(3));
     EXPECT_EQ(it->total, absl::Milliseconds(193));
     EXPECT_EQ(it->claim + it->waiting_at_entry + it->waiting_at_agent + it->run + it->returning +
