--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -6,6 +6,8 @@
   daemon/http_server.cpp
   daemon/logger.cpp
   daemon/node.cpp
+  daemon/settings.cpp
+  daemon/settings_table.cpp
   daemon/shutdown_signal.cpp
   daemon/status_pages.cpp
   daemon/submission_json.cpp
--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,2 +1,4 @@
 savoryreach_test(daemon_test
+  daemon/settings_test.cpp
   daemon/submission_json_test.cpp)
+target_compile_definitions(daemon_test PRIVATE SAVORYREACH_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
