Test each rule of the agent core and split the session table off

Cause: every rule of a start, a lease and a fence needs a test that fails when the rule breaks; agent_core.cpp had grown beyond one subject.

The map of sessions is a class of its own.

--- a/savoryreach/agent/agent_core.cpp
+++ b/savoryreach/agent/agent_core.cpp
@@ -1,15 +1,15 @@
 #include "savoryreach/agent/agent_core.hpp"
 
-#include "savoryreach/agent/entry_session.hpp"
 #include "savoryreach/agent/inquiry_table.hpp"
 #include "savoryreach/agent/registration.hpp"
+#include "savoryreach/agent/session_table.hpp"
 #include "savoryreach/agent/task_runner.hpp"
 #include "savoryreach/agent/view_store.hpp"
 
-#include <absl/container/btree_map.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryreach::agent
 {
@@ -38,16 +38,10 @@
 
 } // namespace
 
-struct agent_core::state final : session_directory
+struct agent_core::state
 {
-    using session_map = absl::btree_map<std::uint64_t, entry_session>;
-
     state(const schema::agent_settings& settings_in, agent_ports ports_in);
 
-    [[nodiscard]] bool may_start(std::uint64_t epoch) const override;
-    void push(std::uint64_t epoch, schema::session_item item) override;
-    [[nodiscard]] std::string entry_of(std::uint64_t epoch) const override;
-
     void on_keeper_reply(const base::node_name& from, const schema::keeper_reply& reply);
     void on_hello_reply(const base::node_name& from, const schema::agent_hello_reply& reply);
     void on_frame(const base::node_name& from, const schema::session_frame& frame);
@@ -56,7 +50,6 @@
 
     void apply_view(const schema::cluster_view& view);
     void drop_incarnation();
-    entry_session* current_session(const base::node_name& entry);
     entry_session* adopt_epoch(const base::node_name& entry, std::uint64_t epoch);
     void close_session(entry_session& session, std::string_view reason);
     void fence(std::uint64_t epoch, const std::string& peer);
@@ -65,7 +58,6 @@
     void send_hellos();
     void send_hello(entry_session& session);
     void send_credits();
-    void send_frames();
     void send_inquiry_replies();
     [[nodiscard]] bool is_handed_over(const entry_session& session) const;
     void continue_drain();
@@ -74,10 +66,10 @@
     agent_ports ports;
     registration registrar;
     view_store views;
+    session_table sessions;
     credit_book credits;
     task_runner runner;
     inquiry_table inquiries;
-    session_map sessions; ///< by epoch
     bool is_draining = false;
     absl::Time drain_began = absl::InfiniteFuture();
     absl::Time last_start_at = absl::InfinitePast(); ///< receipt of the latest start
@@ -89,32 +81,10 @@
 agent_core::state::state(const schema::agent_settings& settings_in, agent_ports ports_in)
     : settings(settings_in), ports(ports_in),
       registrar(settings_in.common(), ports.clock, ports.random, ports.transport),
-      credits(settings_in.slots(), prefetch_for(settings_in.slots())),
+      sessions(ports.clock, views), credits(settings_in.slots(), prefetch_for(settings_in.slots())),
       runner(settings_in.slots(), result_bound(settings_in),
-             {ports.clock, ports.endpoint, ports.events, *this, credits})
-{
-}
-
-bool agent_core::state::may_start(std::uint64_t epoch) const
-{
-    const auto it = sessions.find(epoch);
-    return it != sessions.end() && !views.is_fenced(epoch) &&
-           it->second.is_lease_valid(ports.clock.now());
-}
-
-void agent_core::state::push(std::uint64_t epoch, schema::session_item item)
+             {ports.clock, ports.endpoint, ports.events, sessions, credits})
 {
-    const auto it = sessions.find(epoch);
-    if (it != sessions.end() && it->second.current_phase() != entry_session::phase::closed)
-    {
-        it->second.stream().push(std::move(item));
-    }
-}
-
-std::string agent_core::state::entry_of(std::uint64_t epoch) const
-{
-    const auto it = sessions.find(epoch);
-    return it == sessions.end() ? std::string() : it->second.entry().value();
 }
 
 void agent_core::state::on_keeper_reply(const base::node_name& from,
@@ -173,22 +143,9 @@
     }
 }
 
-entry_session* agent_core::state::current_session(const base::node_name& entry)
-{
-    // The highest epoch of a name is its latest process.
-    for (auto it = sessions.rbegin(); it != sessions.rend(); ++it)
-    {
-        if (it->second.entry() == entry)
-        {
-            return &it->second;
-        }
-    }
-    return nullptr;
-}
-
 entry_session* agent_core::state::adopt_epoch(const base::node_name& entry, std::uint64_t epoch)
 {
-    auto* current = current_session(entry);
+    auto* current = sessions.current(entry);
     if (views.is_fenced(epoch) || (current != nullptr && current->epoch() > epoch))
     {
         return nullptr;
@@ -201,7 +158,7 @@
     {
         close_session(*current, "the entry has a new epoch");
     }
-    return &sessions.try_emplace(epoch, entry, epoch, registrar.incarnation()).first->second;
+    return &sessions.add(entry, epoch, registrar.incarnation());
 }
 
 void agent_core::state::close_session(entry_session& session, std::string_view reason)
@@ -215,23 +172,23 @@
 
 void agent_core::state::fence(std::uint64_t epoch, const std::string& peer)
 {
-    const auto it = sessions.find(epoch);
+    auto* session = sessions.find(epoch);
     const bool was_open =
-        it != sessions.end() && it->second.current_phase() != entry_session::phase::closed;
+        session != nullptr && session->current_phase() != entry_session::phase::closed;
     if (views.fence(epoch) || was_open)
     {
         ports.events.record("epoch_fenced", {{"peer", peer}, {"epoch", absl::StrCat(epoch)}});
     }
     if (was_open)
     {
-        close_session(it->second, "the epoch is fenced");
+        close_session(*session, "the epoch is fenced");
     }
 }
 
 void agent_core::state::on_hello_reply(const base::node_name& from,
                                        const schema::agent_hello_reply& reply)
 {
-    auto* asked = current_session(from);
+    auto* asked = sessions.current(from);
     if (asked == nullptr || reply.incarnation() != registrar.incarnation())
     {
         return;
@@ -262,22 +219,21 @@
 
 void agent_core::state::on_frame(const base::node_name& from, const schema::session_frame& frame)
 {
-    const auto it = sessions.find(frame.epoch());
-    if (it == sessions.end() || it->second.entry() != from)
+    auto* session = sessions.find(frame.epoch());
+    if (session == nullptr || session->entry() != from)
     {
         return;
     }
-    auto& session = it->second;
-    const auto phase = session.current_phase();
+    const auto phase = session->current_phase();
     if (phase == entry_session::phase::connecting || phase == entry_session::phase::closed)
     {
         // Before the first lease a start would only be refused; the entry sends the frame again.
         return;
     }
     ++frames_received;
-    for (const auto& item : session.stream().receive(frame, ports.clock.now()))
+    for (const auto& item : session->stream().receive(frame, ports.clock.now()))
     {
-        on_item(session, item);
+        on_item(*session, item);
     }
 }
 
@@ -398,27 +354,7 @@
     {
         schema::session_item item;
         item.mutable_credit()->set_limit(change.limit);
-        push(change.epoch, std::move(item));
-    }
-}
-
-void agent_core::state::send_frames()
-{
-    const auto now = ports.clock.now();
-    for (auto& [epoch, session] : sessions)
-    {
-        const auto phase = session.current_phase();
-        if (phase == entry_session::phase::connecting || phase == entry_session::phase::closed)
-        {
-            continue;
-        }
-        while (auto frame = session.stream().poll(now))
-        {
-            schema::envelope message;
-            *message.mutable_session() = *std::move(frame);
-            ports.transport.send(session.entry(), std::move(message));
-            ++frames_sent;
-        }
+        sessions.push(change.epoch, std::move(item));
     }
 }
 
@@ -508,7 +444,7 @@
     state_->continue_drain();
     state_->send_hellos();
     state_->send_credits();
-    state_->send_frames();
+    state_->frames_sent += state_->sessions.send_frames(state_->ports.transport);
     state_->send_inquiry_replies();
 }
 
--- a/savoryreach/agent/sources.cmake
+++ b/savoryreach/agent/sources.cmake
@@ -5,6 +5,7 @@
   agent/inquiry_table.cpp
   agent/registration.cpp
   agent/run_counters.cpp
+  agent/session_table.cpp
   agent/slot_table.cpp
   agent/start_record.cpp
   agent/task_runner.cpp
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/agent/scripted_cluster.hpp"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace savoryreach::agent
@@ -7,30 +8,363 @@
 namespace
 {
 
+using testing::Each;
+using testing::ElementsAre;
+
+/// An agent with two slots and one open session of epoch 7.
 class agent_core_test : public testing::Test
 {
 protected:
+    void SetUp() override { entry_ = &cluster_.open_entry("e1", 7); }
+
+    void settle() { cluster_.run_for(absl::Milliseconds(50)); }
+
+    /// Sends starts of the tasks 0 to n-1 of \p job; two of them run.
+    void start_tasks(const std::string& job, std::uint32_t n)
+    {
+        for (std::uint32_t task = 0; task < n; ++task)
+        {
+            cluster_.send_start(*entry_, make_start(job, task));
+        }
+        settle();
+    }
+
+    void start(const schema::task_start& start)
+    {
+        cluster_.send_start(*entry_, start);
+        settle();
+    }
+
+    void end_run(std::size_t run)
+    {
+        cluster_.end_run(run);
+        settle();
+    }
+
+    [[nodiscard]] std::size_t runs() const { return cluster_.endpoint.runs.size(); }
+
+    [[nodiscard]] std::vector<schema::task_outcome> outcomes() const
+    {
+        std::vector<schema::task_outcome> all;
+        for (const auto& result : entry_->results)
+        {
+            all.push_back(result.outcome());
+        }
+        return all;
+    }
+
     scripted_cluster cluster_;
+    scripted_entry* entry_ = nullptr;
 };
 
 // Guards against a break anywhere on the way from registration to the result of a task.
 TEST_F(agent_core_test, registered_agent_runs_a_start_and_reports_its_result)
 {
-    auto& entry = cluster_.open_entry("e1", 7);
     ASSERT_TRUE(cluster_.agent->is_ready());
     EXPECT_EQ(cluster_.agent->status().incarnation, 50u);
-    EXPECT_GT(entry.credit, 0u);
-    cluster_.send_start(entry, make_start("job"));
-    cluster_.run_for(absl::Milliseconds(5));
-    ASSERT_EQ(cluster_.endpoint.runs.size(), 1u);
+    EXPECT_GT(entry_->credit, 0u);
+    start(make_start("job"));
+    ASSERT_EQ(runs(), 1u);
     EXPECT_EQ(cluster_.endpoint.runs[0].attempt, (base::attempt_id{"job", 0, 0}));
-    cluster_.end_run(0);
-    cluster_.run_for(absl::Milliseconds(5));
-    ASSERT_EQ(entry.results.size(), 1u);
-    EXPECT_EQ(entry.results[0].outcome(), schema::task_succeeded);
-    EXPECT_EQ(entry.results[0].output(), "out");
+    end_run(0);
+    ASSERT_EQ(entry_->results.size(), 1u);
+    EXPECT_EQ(entry_->results[0].outcome(), schema::task_succeeded);
+    EXPECT_EQ(entry_->results[0].output(), "out");
     EXPECT_EQ(cluster_.events.counts["task_started"], 1);
-    EXPECT_EQ(cluster_.events.counts["session_opened"], 1);
+    cluster_.run_for(absl::Seconds(1));
+    ASSERT_EQ(entry_->hellos.back().counters_size(), 1);
+    EXPECT_EQ(entry_->hellos.back().counters(0).succeeded(), 1u);
+}
+
+// Guards against a start without a lease, and against running tasks that outlive it for long.
+TEST_F(agent_core_test, expired_lease_discards_waiting_and_stops_running_3_s_later)
+{
+    start_tasks("job", 3);
+    entry_->lease_ms = 0;
+    cluster_.run_for(absl::Milliseconds(2100));
+    EXPECT_EQ(cluster_.events.counts["session_lease_expired"], 1);
+    EXPECT_EQ(cluster_.agent->status().waiting, 0u);
+    cluster_.run_for(absl::Milliseconds(2300));
+    EXPECT_TRUE(cluster_.endpoint.stopped.empty());
+    cluster_.run_for(absl::Seconds(1));
+    EXPECT_EQ(cluster_.endpoint.stopped.size(), 2u);
+    end_run(0);
+    start(make_start("late"));
+    EXPECT_EQ(runs(), 2u);
+    entry_->lease_ms = 2000;
+    cluster_.run_for(absl::Seconds(3));
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_not_started, schema::task_succeeded,
+                                        schema::task_not_started));
+}
+
+// Guards against a lease that is counted from the receipt of a delayed reply.
+TEST_F(agent_core_test, lease_counts_from_the_sending_of_the_hello)
+{
+    cluster_.network.faults().min_delay = absl::Milliseconds(900);
+    cluster_.network.faults().max_delay = absl::Milliseconds(900);
+    cluster_.run_for(absl::Seconds(4));
+    ASSERT_TRUE(cluster_.agent->is_ready());
+    cluster_.network.isolate(entry_->name);
+    // The last reply was to a hello at least 1.8 s old, so at most 0.2 s of its lease remain.
+    cluster_.run_for(absl::Milliseconds(210));
+    EXPECT_FALSE(cluster_.agent->is_ready());
+}
+
+// Guards against a session that gets no credit any more once its lease was lost for a while.
+TEST_F(agent_core_test, regained_lease_brings_new_credit)
+{
+    start_tasks("job", static_cast<std::uint32_t>(entry_->credit));
+    entry_->lease_ms = 0;
+    cluster_.run_for(absl::Seconds(6));
+    entry_->lease_ms = 2000;
+    end_run(0);
+    end_run(1);
+    cluster_.run_for(absl::Seconds(2));
+    EXPECT_GT(entry_->credit, 3u);
+}
+
+// Guards against a second run of an attempt whose start arrives again.
+TEST_F(agent_core_test, repeated_start_does_not_run_again)
+{
+    start(make_start("job"));
+    start(make_start("job"));
+    end_run(0);
+    start(make_start("job"));
+    EXPECT_EQ(runs(), 1u);
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_succeeded, schema::task_succeeded));
+}
+
+// Guards against a non-idempotent task that runs twice on one endpoint.
+TEST_F(agent_core_test, other_attempt_of_non_idempotent_task_is_refused)
+{
+    start(make_start("job", 0, 0));
+    end_run(0);
+    start(make_start("job", 0, 1));
+    EXPECT_EQ(runs(), 1u);
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_succeeded, schema::task_not_started));
+}
+
+// Guards against two concurrent runs of an idempotent task, and against a refused retry.
+TEST_F(agent_core_test, other_attempt_of_idempotent_task_waits_for_the_end_of_the_first)
+{
+    auto retry = make_start("job", 0, 0);
+    retry.set_idempotent(true);
+    start(retry);
+    retry.set_attempt(1);
+    start(retry);
+    EXPECT_EQ(runs(), 1u);
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_not_started));
+    end_run(0);
+    retry.set_attempt(2);
+    start(retry);
+    EXPECT_EQ(runs(), 2u);
+}
+
+// Guards against a start after its deadline, when the caller no longer waits.
+TEST_F(agent_core_test, waiting_start_past_its_deadline_is_refused)
+{
+    start_tasks("job", 2);
+    auto urgent = make_start("job", 2);
+    urgent.set_start_within_ms(100);
+    start(urgent);
+    cluster_.run_for(absl::Milliseconds(100));
+    end_run(0);
+    EXPECT_EQ(runs(), 2u);
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_not_started, schema::task_succeeded));
+}
+
+// Guards against urgent work that waits behind work that arrived before it.
+TEST_F(agent_core_test, waiting_starts_run_by_urgency_then_arrival)
+{
+    start_tasks("job", 4);
+    auto urgent = make_start("job", 4);
+    urgent.set_urgency(9);
+    start(urgent);
+    end_run(0);
+    end_run(1);
+    ASSERT_EQ(runs(), 4u);
+    EXPECT_EQ(cluster_.endpoint.runs[2].attempt.task, 4u);
+    EXPECT_EQ(cluster_.endpoint.runs[3].attempt.task, 2u);
+}
+
+// Guards against a task that holds its slot beyond its run limit.
+TEST_F(agent_core_test, run_limit_stops_the_run_once)
+{
+    auto slow = make_start("job");
+    slow.set_run_limit_ms(200);
+    start(slow);
+    cluster_.run_for(absl::Milliseconds(100));
+    EXPECT_TRUE(cluster_.endpoint.stopped.empty());
+    cluster_.run_for(absl::Milliseconds(100));
+    EXPECT_EQ(cluster_.endpoint.stopped.size(), 1u);
+}
+
+// Guards against a recalled task that runs here while another endpoint runs it too.
+TEST_F(agent_core_test, recalled_waiting_start_never_runs)
+{
+    start_tasks("job", 3);
+    cluster_.send_recall(*entry_, "job", 2);
+    cluster_.send_recall(*entry_, "job", 0);
+    settle();
+    ASSERT_EQ(entry_->recalls.size(), 2u);
+    EXPECT_TRUE(entry_->recalls[0].returned());
+    EXPECT_FALSE(entry_->recalls[1].returned());
+    end_run(0);
+    end_run(1);
+    start(make_start("job", 2));
+    EXPECT_EQ(runs(), 2u);
+    EXPECT_EQ(entry_->results.back().outcome(), schema::task_not_started);
+}
+
+// Guards against a cancelled task that starts, and against stopping one that must not be repeated.
+TEST_F(agent_core_test, cancel_returns_waiting_and_stops_idempotent_runs)
+{
+    auto idempotent = make_start("job", 9);
+    idempotent.set_idempotent(true);
+    start(idempotent);
+    start_tasks("job", 2);
+    schema::session_item item;
+    item.mutable_cancel()->set_submission_id("job");
+    cluster_.send_item(*entry_, item);
+    settle();
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_not_started));
+    EXPECT_THAT(cluster_.endpoint.stopped, ElementsAre(cluster_.endpoint.runs[0].run_id));
+}
+
+// Guards against a fenced entry whose tasks still start, and against a taken-over job that is told
+// of fewer starts than there were.
+TEST_F(agent_core_test, inquiry_fences_the_epoch_and_reports_every_start)
+{
+    auto& asker = cluster_.open_entry("e2", 8);
+    start_tasks("job", 3);
+    end_run(0);
+    start(make_start("job", 3));
+    cluster_.send_inquiry(asker, 7);
+    settle();
+    ASSERT_EQ(asker.replies.size(), 1u);
+    EXPECT_EQ(asker.replies[0].incarnation(), 50u);
+    ASSERT_EQ(asker.replies[0].tasks_size(), 3);
+    EXPECT_EQ(asker.replies[0].tasks(0).result().output(), "out");
+    EXPECT_FALSE(asker.replies[0].tasks(1).ended());
+    EXPECT_EQ(cluster_.agent->status().waiting, 0u);
+    end_run(1);
+    ASSERT_EQ(asker.replies.size(), 2u);
+    EXPECT_TRUE(asker.replies[1].tasks(1).ended());
+    start(make_start("late"));
+    cluster_.run_for(absl::Seconds(1));
+    EXPECT_EQ(runs(), 3u);
+    cluster_.send_inquiry(asker, 7);
+    settle();
+    EXPECT_EQ(asker.replies.size(), 3u);
+    EXPECT_EQ(cluster_.events.counts["epoch_fenced"], 1);
+}
+
+// Guards against stopping a run whose result a new home awaits, and against one that nobody awaits.
+TEST_F(agent_core_test, awaited_run_of_fenced_epoch_is_stopped_only_when_inquiries_cease)
+{
+    auto& asker = cluster_.open_entry("e2", 8);
+    start_tasks("job", 1);
+    for (int n = 0; n < 10; ++n)
+    {
+        cluster_.send_inquiry(asker, 7);
+        cluster_.run_for(absl::Seconds(1));
+    }
+    EXPECT_TRUE(cluster_.endpoint.stopped.empty());
+    cluster_.run_for(absl::Seconds(3));
+    EXPECT_EQ(cluster_.endpoint.stopped.size(), 1u);
+}
+
+// Guards against starts of an entry process that the membership has replaced.
+TEST_F(agent_core_test, new_epoch_of_an_entry_replaces_its_session)
+{
+    start_tasks("job", 3);
+    cluster_.fence_in_view(7);
+    entry_ = &cluster_.open_entry("e1", 9);
+    end_run(0);
+    EXPECT_EQ(runs(), 2u);
+    start(make_start("other"));
+    EXPECT_EQ(runs(), 3u);
+    EXPECT_EQ(cluster_.agent->status().sessions, 1u);
+}
+
+// Guards against a delayed view that turns the configuration back.
+TEST_F(agent_core_test, configuration_never_reverts)
+{
+    entry_->view.set_config_revision(12);
+    cluster_.run_for(absl::Seconds(1));
+    entry_->view.set_config_revision(11);
+    cluster_.run_for(absl::Seconds(1));
+    EXPECT_EQ(cluster_.agent->status().config_revision, 12u);
+    EXPECT_EQ(entry_->hellos.back().config_revision(), 12u);
+}
+
+// Guards against an agent that is expired by its keepers and goes on with its old state.
+TEST_F(agent_core_test, expired_registration_drops_state_and_registers_anew)
+{
+    start_tasks("job", 3);
+    cluster_.expire_next_renewal = true;
+    cluster_.run_for(absl::Seconds(6));
+    EXPECT_EQ(cluster_.endpoint.stopped.size(), 2u);
+    EXPECT_EQ(cluster_.agent->status().incarnation, 51u);
+    EXPECT_EQ(cluster_.agent->status().start_records, 0u);
+    ASSERT_EQ(cluster_.nonces.size(), 2u);
+    EXPECT_NE(cluster_.nonces[0], cluster_.nonces[1]);
+    start(make_start("new"));
+    EXPECT_EQ(runs(), 2u) << "the slots are still occupied";
+    end_run(0);
+    EXPECT_EQ(runs(), 3u);
+    EXPECT_TRUE(entry_->results.empty());
+}
+
+// Guards against a renewal that stops when a keeper falls silent.
+TEST_F(agent_core_test, silent_keeper_renewals_go_to_the_next)
+{
+    const auto before = cluster_.keeper_requests.size();
+    cluster_.network.isolate(base::node_name("k0"));
+    cluster_.network.isolate(base::node_name("k2"));
+    cluster_.run_for(absl::Seconds(30));
+    const auto renewals = cluster_.keeper_requests.size() - before;
+    EXPECT_GE(renewals, 5u);
+    EXPECT_LE(renewals, 6u);
+}
+
+// Guards against a drain that interrupts work, loses results or accepts more of it.
+TEST_F(agent_core_test, drain_finishes_runs_hands_over_results_and_leaves)
+{
+    start_tasks("job", 3);
+    cluster_.agent->begin_drain();
+    start(make_start("new"));
+    EXPECT_THAT(outcomes(), ElementsAre(schema::task_not_started, schema::task_not_started));
+    EXPECT_TRUE(entry_->hellos.back().draining());
+    cluster_.run_for(absl::Seconds(5));
+    EXPECT_TRUE(cluster_.endpoint.stopped.empty());
+    EXPECT_FALSE(cluster_.agent->is_drained());
+    cluster_.network.cut(base::node_name("agent"), entry_->name);
+    cluster_.end_run(0);
+    cluster_.end_run(1);
+    cluster_.run_for(absl::Seconds(1));
+    EXPECT_FALSE(cluster_.agent->is_drained()) << "results are not acknowledged";
+    cluster_.network.mend_all();
+    cluster_.run_for(absl::Seconds(4));
+    EXPECT_EQ(outcomes().size(), 4u);
+    EXPECT_TRUE(cluster_.agent->is_drained());
+    EXPECT_EQ(cluster_.keeper_requests.back(), "leave");
+}
+
+// Guards against start records that outlive their job, or vanish before it is released.
+TEST_F(agent_core_test, release_drops_start_records)
+{
+    start_tasks("job", 2);
+    end_run(0);
+    EXPECT_EQ(cluster_.agent->status().start_records, 2u);
+    schema::session_item item;
+    item.mutable_release()->set_submission_id("job");
+    cluster_.send_item(*entry_, item);
+    settle();
+    EXPECT_EQ(cluster_.agent->status().start_records, 1u) << "one task still runs";
+    end_run(1);
+    EXPECT_EQ(cluster_.agent->status().start_records, 0u);
+    EXPECT_EQ(cluster_.agent->status().result_bytes, 0u);
 }
 
 } // namespace
--- a/tests/agent/scripted_cluster.hpp
+++ b/tests/agent/scripted_cluster.hpp
@@ -9,6 +9,7 @@
 #include <absl/container/btree_map.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,11 +22,19 @@
 class scripted_endpoint final : public endpoint_port
 {
 public:
-    void run(const run_request& request) override { runs.push_back(request); }
+    void run(const run_request& request) override
+    {
+        runs.push_back(request);
+        if (on_run)
+        {
+            on_run(request);
+        }
+    }
     void stop(std::uint64_t run_id) override { stopped.insert(run_id); }
 
     std::vector<run_request> runs; ///< all runs ever begun
     std::set<std::uint64_t> stopped;
+    std::function<void(const run_request&)> on_run; ///< checks of randomised runs
 };
 
 /// Counts events by kind.
@@ -53,6 +62,7 @@
     std::vector<schema::recall_result> recalls;
     std::vector<schema::inquiry_reply> replies;
     std::uint64_t credit = 0;
+    absl::Time granted_until = absl::InfinitePast(); ///< end of the lease on the entry's side
 };
 
 /// An agent core with scripted keeper, entries and endpoint on the fake network.
--- a/tests/agent/sources.cmake
+++ b/tests/agent/sources.cmake
@@ -2,4 +2,5 @@
 savoryreach_test(agent_test
   agent/agent_core_test.cpp
   agent/scripted_cluster.cpp
+  agent/start_record_test.cpp
   agent/temporary_credit_allocator.cpp)
