--- a/savoryreach/agent/sources.cmake
+++ b/savoryreach/agent/sources.cmake
@@ -1,5 +1,6 @@
 target_sources(savoryreach PRIVATE
   agent/agent_core.cpp
+  agent/credit_allocator.cpp
   agent/credit_book.cpp
   agent/entry_session.cpp
   agent/inquiry_table.cpp
