--- a/tests/agent/agent_random_test.cpp
+++ b/tests/agent/agent_random_test.cpp
@@ -50,24 +50,12 @@
         EXPECT_TRUE(is_idempotent || task.attempts.size() == 1) << "non-idempotent task ran twice";
         EXPECT_EQ(task.running, 0) << "two attempts run at once";
         ++task.running;
-        EXPECT_LT(cluster_.clock.now(), granted_until(epoch)) << "start without a lease";
+        // The lease as the entry knows it; the agent's own must not end later.
+        EXPECT_LT(cluster_.clock.now(), cluster_.granted_until[epoch]) << "start without a lease";
         EXPECT_FALSE(fenced_.contains(epoch)) << "start of a fenced epoch";
         EXPECT_FALSE(returned_.contains(id)) << "start of a returned attempt";
     }
 
-    /// The lease end as the entry knows it: the agent's own must not be later.
-    absl::Time granted_until(std::uint64_t epoch)
-    {
-        for (const auto& [name, entry] : cluster_.entries)
-        {
-            if (entry.epoch == epoch)
-            {
-                return entry.granted_until;
-            }
-        }
-        return absl::InfinitePast();
-    }
-
     void send_random_start(std::uint64_t n)
     {
         auto& from = entry(n);
--- a/tests/agent/scripted_cluster.cpp
+++ b/tests/agent/scripted_cluster.cpp
@@ -128,7 +128,8 @@
         reply.set_request_id(hello.request_id());
         reply.set_lease_ms(entry.lease_ms);
         *reply.mutable_view() = entry.view;
-        entry.granted_until = clock.now() + absl::Milliseconds(entry.lease_ms);
+        reply.set_demand(100);
+        granted_until[entry.epoch] = clock.now() + absl::Milliseconds(entry.lease_ms);
         network.send(entry.name, agent_name, std::move(answer));
     }
     else if (message.has_session() && entry.stream)
--- a/tests/agent/scripted_cluster.hpp
+++ b/tests/agent/scripted_cluster.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -62,7 +63,6 @@
     std::vector<schema::recall_result> recalls;
     std::vector<schema::inquiry_reply> replies;
     std::uint64_t credit = 0;
-    absl::Time granted_until = absl::InfinitePast(); ///< end of the lease on the entry's side
 };
 
 /// An agent core with scripted keeper, entries and endpoint on the fake network.
@@ -98,7 +98,8 @@
     bool expire_next_renewal = false;
     std::vector<std::string> keeper_requests; ///< kinds, in the order of receipt
     std::vector<std::uint64_t> nonces;
-    absl::btree_map<std::string, scripted_entry> entries; ///< by name
+    std::map<std::string, scripted_entry> entries;            ///< by name
+    absl::btree_map<std::uint64_t, absl::Time> granted_until; ///< entries' lease ends by epoch
     std::unique_ptr<net::transport> agent_transport;
     std::unique_ptr<agent_core> agent;
 
