--- a/tests/agent/scripted_cluster.hpp
+++ b/tests/agent/scripted_cluster.hpp
@@ -9,6 +9,8 @@
 #include <absl/container/btree_map.h>
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,11 +23,19 @@
 class scripted_endpoint final : public endpoint_port
 {
 public:
-    void run(const run_request& request) override { runs.push_back(request); }
+    void run(const run_request& request) override
+    {
+        runs.push_back(request);
+        if (on_run)
+        {
+            on_run(request);
+        }
+    }
     void stop(std::uint64_t run_id) override { stopped.insert(run_id); }
 
     std::vector<run_request> runs; ///< all runs ever begun
     std::set<std::uint64_t> stopped;
+    std::function<void(const run_request&)> on_run; ///< checks of randomised runs
 };
 
 /// Counts events by kind.
@@ -88,7 +98,8 @@
     bool expire_next_renewal = false;
     std::vector<std::string> keeper_requests; ///< kinds, in the order of receipt
     std::vector<std::uint64_t> nonces;
-    absl::btree_map<std::string, scripted_entry> entries; ///< by name
+    std::map<std::string, scripted_entry> entries;            ///< by name
+    absl::btree_map<std::uint64_t, absl::Time> granted_until; ///< entries' lease ends by epoch
     std::unique_ptr<net::transport> agent_transport;
     std::unique_ptr<agent_core> agent;
 
