--- a/savoryreach/entry/agent_link.hpp
+++ b/savoryreach/entry/agent_link.hpp
@@ -27,8 +27,8 @@
 class agent_link
 {
 public:
-    agent_link(agent_life life_, std::uint64_t epoch)
-        : life(std::move(life_)), session(epoch, life.incarnation)
+    agent_link(agent_life of, std::uint64_t epoch)
+        : life(std::move(of)), session(epoch, life.incarnation)
     {
     }
 
--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -110,7 +110,10 @@
     if (!is_same || link.facts.agent.empty())
     {
         link.facts = std::move(facts);
-        endpoints_.endpoint_joined(link.facts);
+        if (link.phase != link_phase::lost)
+        {
+            endpoints_.endpoint_joined(link.facts);
+        }
     }
     link.is_draining = message.draining();
     link.config_revision = message.config_revision();
@@ -183,6 +186,18 @@
     }
 }
 
+void agent_table::attempt_ended(const agent_link& link, const job& it, attempt_result how,
+                                absl::Duration run_time)
+{
+    // The placement knows the current incarnation only.
+    if (!link.is_superseded && link.phase != link_phase::lost)
+    {
+        endpoints_.attempt_ended(link.life.name, it.submission.kind(),
+                                 static_cast<std::uint64_t>(it.number), how, run_time,
+                                 context_.now());
+    }
+}
+
 void agent_table::set_phase(agent_link& link, link_phase phase)
 {
     const bool was_lost = link.phase == link_phase::lost;
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -48,6 +48,10 @@
     /// Tells the placement how many starts \p link may still be sent.
     void update_credit(agent_link& link);
 
+    /// Tells the placement how an attempt at \p link has ended.
+    void attempt_ended(const agent_link& link, const job& it, attempt_result how,
+                       absl::Duration run_time);
+
     /// The current incarnation of the agent; null when it never announced itself.
     [[nodiscard]] agent_link* find(const base::node_name& agent);
     [[nodiscard]] agent_link* find(const agent_life& life);
--- a/savoryreach/entry/dispatcher.cpp
+++ b/savoryreach/entry/dispatcher.cpp
@@ -208,4 +208,24 @@
     }
 }
 
+void dispatcher::forget(job& it)
+{
+    for (std::uint32_t n = 0; n < it.tasks.size(); ++n)
+    {
+        auto& task = it.tasks[n];
+        if (task.phase != task_phase::sent)
+        {
+            continue;
+        }
+        task.phase = task_phase::failed;
+        task.may_have_started = true;
+        of_.queue.attempt_ended(it, task.charged, task.charged);
+        if (auto* link = of_.agents.find(task.agent))
+        {
+            link->in_flight.erase({it.number, n});
+            of_.agents.attempt_ended(*link, it, attempt_result::not_started, absl::ZeroDuration());
+        }
+    }
+}
+
 } // namespace savoryreach::entry
--- a/savoryreach/entry/dispatcher.hpp
+++ b/savoryreach/entry/dispatcher.hpp
@@ -38,6 +38,9 @@
     /// Lets the agents drop their records of the job.
     void release(job& it);
 
+    /// Gives up waiting for results of the job's tasks at agents.
+    void forget(job& it);
+
 private:
     void dispatch();
     bool start_one(job& it);
--- a/savoryreach/entry/entry_context.hpp
+++ b/savoryreach/entry/entry_context.hpp
@@ -13,8 +13,8 @@
 /// What the parts of one entry core share.
 struct entry_context
 {
-    entry_context(schema::entry_settings settings_, entry_ports ports_)
-        : settings(std::move(settings_)), ports(ports_), self(settings.common().name())
+    entry_context(schema::entry_settings of, entry_ports through)
+        : settings(std::move(of)), ports(through), self(settings.common().name())
     {
     }
 
--- a/savoryreach/entry/entry_core.cpp
+++ b/savoryreach/entry/entry_core.cpp
@@ -32,7 +32,7 @@
 
 void entry_core::caller_gone(std::uint64_t request_id)
 {
-    state_->flow.waiter_gone(request_id);
+    state_->flow.caller_gone(request_id);
     state_->forwards.caller_gone(request_id);
 }
 
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -327,9 +327,11 @@
 
 void entry_core::state::leave_when_idle()
 {
-    const bool is_idle =
-        flow.is_draining() && jobs.open_jobs() == 0 && claims.is_idle() && forwards.size() == 0;
-    if (is_idle)
+    if (jobs.open_jobs() > 0 || !claims.is_idle() || forwards.size() > 0)
+    {
+        busy_at = context.now();
+    }
+    if (flow.is_draining() && busy_at + linger <= context.now())
     {
         members.leave();
     }
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -77,6 +77,8 @@
     void redirect(const base::node_name& to, std::uint64_t request_id,
                   const base::node_name& owner);
     void leave_when_idle();
+
+    absl::Time busy_at = absl::InfinitePast(); ///< when something was in flight last
     [[nodiscard]] std::string describe_agents() const;
     [[nodiscard]] std::string describe_teams() const;
     [[nodiscard]] std::string describe_jobs() const;
--- a/savoryreach/entry/job.cpp
+++ b/savoryreach/entry/job.cpp
@@ -6,8 +6,8 @@
 namespace savoryreach::entry
 {
 
-job::job(job_number number_, schema::submission submission_, std::string digest_, absl::Time now)
-    : number(number_), submission(std::move(submission_)), digest(std::move(digest_)),
+job::job(job_number its_number, schema::submission posted, std::string its_digest, absl::Time now)
+    : number(its_number), submission(std::move(posted)), digest(std::move(its_digest)),
       accepted_at(now), answer_by(now + absl::Milliseconds(submission.time_budget_ms())),
       tasks(static_cast<std::size_t>(submission.tasks_size()))
 {
--- a/savoryreach/entry/job.hpp
+++ b/savoryreach/entry/job.hpp
@@ -86,7 +86,7 @@
 class job
 {
 public:
-    job(job_number number, schema::submission submission, std::string digest, absl::Time now);
+    job(job_number its_number, schema::submission posted, std::string its_digest, absl::Time now);
 
     [[nodiscard]] const std::string& id() const { return submission.submission_id(); }
     [[nodiscard]] bool is_ended() const { return phase == job_phase::ended; }
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 job_flow::job_flow(const parts& of, hooks call)
-    : of_(of), context_(of.shared.context), jobs_(of.shared.jobs), call_(std::move(call))
+    : of_(of), context_(of.shared.context), jobs_(of.shared.jobs),
+      waiters_(of.shared.jobs, std::move(call.answer)), moved_(std::move(call.moved))
 {
 }
 
@@ -51,7 +52,7 @@
     if (const auto* known = jobs_.refusal_of(id, context_.now()))
     {
         ++context_.counters.refused;
-        call_.answer(waiter, known->answer);
+        waiters_.answer(waiter, known->answer);
         return;
     }
     if (is_draining_)
@@ -75,41 +76,17 @@
     if (it.digest != digest)
     {
         const auto why = conflict_reason();
-        call_.answer(
+        waiters_.answer(
             waiter, error_answer(submission.submission_id(), why, base::traits_of(why.kind).claim));
         return;
     }
-    const auto is_same = [&waiter](const job_waiter& known)
-    {
-        return known.entry == waiter.entry && known.request_id == waiter.request_id;
-    };
-    if (std::ranges::any_of(it.waiters, is_same))
+    if (job_waiters::has(it, waiter))
     {
         return;
     }
     ++context_.counters.joined;
     context_.ports.events.record("job_joined", {{"submission", it.id()}});
-    add_waiter(it, waiter);
-}
-
-void job_flow::add_waiter(job& it, const job_waiter& waiter)
-{
-    if (it.is_ended())
-    {
-        call_.answer(waiter, *it.answer);
-        return;
-    }
-    if (waiter.respond_now && it.is_claimed)
-    {
-        call_.answer(waiter, running_answer(it.id()));
-        return;
-    }
-    if (waiter.entry.empty())
-    {
-        callers_[waiter.request_id] = it.id();
-    }
-    it.waiters.push_back(waiter);
-    jobs_.wake_at(it.number, waiter.answer_by);
+    waiters_.add(it, waiter);
 }
 
 bool job_flow::needs_ledger(const std::string& submission_id)
@@ -132,7 +109,7 @@
         it.refusal = why.why;
         it.retry_after = why.retry_after;
         ++verifying_;
-        add_waiter(it, waiter);
+        waiters_.add(it, waiter);
         jobs_.wake_at(it.number, it.answer_by);
         of_.claims.claim(id, digest);
         return;
@@ -146,7 +123,7 @@
     {
         answer.set_not_run(to_schema(base::not_run::unknown));
     }
-    call_.answer(waiter, answer);
+    waiters_.answer(waiter, answer);
 }
 
 void job_flow::accept(const schema::submission& submission, const std::string& digest,
@@ -158,7 +135,7 @@
     of_.shared.queue.reserve(it);
     context_.ports.events.record("job_accepted",
                                  {{"submission", it.id()}, {"tasks", absl::StrCat(it.waiting)}});
-    add_waiter(it, waiter);
+    waiters_.add(it, waiter);
     jobs_.wake_at(it.number, it.answer_by);
     of_.claims.claim(it.id(), digest);
 }
@@ -187,16 +164,18 @@
         owned_elsewhere(*it, result.owner());
         break;
     case schema::claim_finished:
-        answer_all(*it, error_answer(it->id(),
-                                     {base::error_kind::answer_not_held,
-                                      "the job has ended and its answer is no longer held"},
-                                     base::not_run::no));
+        waiters_.answer_all(*it,
+                            error_answer(it->id(),
+                                         {base::error_kind::answer_not_held,
+                                          "the job has ended and its answer is no longer held"},
+                                         base::not_run::no));
         jobs_.note_finished(it->id(), context_.now());
         drop(*it);
         break;
     case schema::claim_conflict:
-        answer_all(*it, error_answer(it->id(), conflict_reason(),
-                                     base::traits_of(base::error_kind::content_conflict).claim));
+        waiters_.answer_all(
+            *it, error_answer(it->id(), conflict_reason(),
+                              base::traits_of(base::error_kind::content_conflict).claim));
         drop(*it);
         break;
     case schema::claim_full:
@@ -258,17 +237,7 @@
 void job_flow::begin(job& it)
 {
     const auto now = context_.now();
-    const auto answer = running_answer(it.id());
-    std::erase_if(it.waiters,
-                  [&](const job_waiter& waiter)
-                  {
-                      if (waiter.respond_now)
-                      {
-                          callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
-                          call_.answer(waiter, answer);
-                      }
-                      return waiter.respond_now;
-                  });
+    waiters_.answer_impatient(it);
     it.held_until = of_.routes.hold_until(it.id(), now);
     if (it.held_until > now)
     {
@@ -303,22 +272,12 @@
         of_.claims.claim(it.id(), it.digest);
         return;
     }
-    const auto waiters = std::exchange(it.waiters, {});
+    const auto waiters = waiters_.take_all(it);
     const auto submission = it.submission;
     drop(it);
     for (const auto& waiter : waiters)
     {
-        callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
-        call_.moved(waiter, submission, base::node_name(owner));
-    }
-}
-
-void job_flow::answer_all(job& it, const schema::job_answer& answer)
-{
-    for (const auto& waiter : std::exchange(it.waiters, {}))
-    {
-        callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
-        call_.answer(waiter, answer);
+        moved_(waiter, submission, base::node_name(owner));
     }
 }
 
@@ -333,7 +292,7 @@
     {
         answer.set_not_run(to_schema(base::not_run::unknown));
     }
-    answer_all(it, answer);
+    waiters_.answer_all(it, answer);
     drop(it);
 }
 
@@ -342,6 +301,7 @@
     of_.shared.queue.remove(it);
     of_.takeovers.remove(it);
     of_.starts.release(it);
+    of_.starts.forget(it);
     if (it.phase == job_phase::verifying)
     {
         --verifying_;
@@ -415,7 +375,7 @@
         "job_answered", {{"submission", it.id()},
                          {"state", is_complete ? "complete" : "failed"},
                          {"reason", name_of(base::error_kind_from(it.answer->error_kind()))}});
-    answer_all(it, *it.answer);
+    waiters_.answer_all(it, *it.answer);
 }
 
 void job_flow::finish_acknowledged(const std::string& submission_id)
@@ -440,22 +400,6 @@
     drop(it);
 }
 
-void job_flow::answer_overdue_waiters(job& it, absl::Time now)
-{
-    const auto answer = running_answer(it.id());
-    std::erase_if(it.waiters,
-                  [&](const job_waiter& waiter)
-                  {
-                      const bool is_overdue = waiter.answer_by <= now;
-                      if (is_overdue)
-                      {
-                          callers_.erase(waiter.entry.empty() ? waiter.request_id : 0);
-                          call_.answer(waiter, answer);
-                      }
-                      return is_overdue;
-                  });
-}
-
 void job_flow::due(job& it, absl::Time now)
 {
     if (it.is_ended())
@@ -477,7 +421,7 @@
     {
         begin(it);
     }
-    answer_overdue_waiters(it, now);
+    waiters_.answer_overdue(it, now);
 }
 
 void job_flow::tick()
@@ -497,15 +441,15 @@
 {
     if (const auto* it = jobs_.find(submission_id))
     {
-        call_.answer(waiter, it->is_ended() ? *it->answer : running_answer(submission_id));
+        waiters_.answer(waiter, it->is_ended() ? *it->answer : running_answer(submission_id));
         return;
     }
     const auto* refused = jobs_.refusal_of(submission_id, context_.now());
-    call_.answer(waiter, refused != nullptr ? refused->answer
-                                            : error_answer(submission_id,
-                                                           {base::error_kind::not_found,
-                                                            "no job of this id is known"},
-                                                           base::not_run::unknown));
+    waiters_.answer(waiter, refused != nullptr ? refused->answer
+                                               : error_answer(submission_id,
+                                                              {base::error_kind::not_found,
+                                                               "no job of this id is known"},
+                                                              base::not_run::unknown));
 }
 
 void job_flow::cancel(const std::string& submission_id, const job_waiter& waiter)
@@ -518,25 +462,10 @@
     }
     auto patient = waiter;
     patient.respond_now = false;
-    add_waiter(*it, patient);
+    waiters_.add(*it, patient);
     fail(*it, {base::error_kind::cancelled, "the caller has cancelled the job"});
 }
 
-void job_flow::waiter_gone(std::uint64_t request_id)
-{
-    const auto known = callers_.find(request_id);
-    if (known == callers_.end())
-    {
-        return;
-    }
-    if (auto* it = jobs_.find(known->second))
-    {
-        std::erase_if(it->waiters, [request_id](const job_waiter& waiter)
-                      { return waiter.entry.empty() && waiter.request_id == request_id; });
-    }
-    callers_.erase(known);
-}
-
 void job_flow::lease_lost()
 {
     std::vector<job_number> unstarted;
@@ -562,6 +491,7 @@
     jobs_.for_each(
         [this](job& it)
         {
+            of_.starts.forget(it);
             if (it.is_ended())
             {
                 return;
@@ -571,7 +501,7 @@
                                         "the entry's epoch is fenced; another entry carries on"},
                                        it.not_run());
             answer.set_tasks_started(it.tasks_started());
-            answer_all(it, answer);
+            waiters_.answer_all(it, answer);
         });
     of_.shared.queue.clear();
     of_.takeovers.clear();
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -7,6 +7,7 @@
 #include "savoryreach/entry/forwarding.hpp"
 #include "savoryreach/entry/job_policy.hpp"
 #include "savoryreach/entry/job_table.hpp"
+#include "savoryreach/entry/job_waiters.hpp"
 #include "savoryreach/entry/recovery.hpp"
 
 #include <functional>
@@ -30,14 +31,14 @@
         job_policy& policy;
     };
 
+    /// Takes a waiter whose job belongs to \p owner.
+    using moved_handler = std::function<void(const job_waiter&, const schema::submission&,
+                                             const base::node_name& owner)>;
+
     struct hooks
     {
-        /// Delivers an answer to a waiter, here or at another entry.
-        std::function<void(const job_waiter&, const schema::job_answer&)> answer;
-        /// The job belongs to another entry.
-        std::function<void(const job_waiter&, const schema::submission&,
-                           const base::node_name& owner)>
-            moved;
+        job_waiters::answer_handler answer;
+        moved_handler moved;
     };
 
     job_flow(const parts& of, hooks call);
@@ -48,7 +49,7 @@
     [[nodiscard]] bool knows(const std::string& submission_id);
     void lookup(const std::string& submission_id, const job_waiter& waiter);
     void cancel(const std::string& submission_id, const job_waiter& waiter);
-    void waiter_gone(std::uint64_t request_id);
+    void caller_gone(std::uint64_t request_id) { waiters_.remove_caller(request_id); }
 
     void claim_answered(const std::string& submission_id, const schema::claim_result& result);
     void finish_acknowledged(const std::string& submission_id);
@@ -91,20 +92,17 @@
     void refuse_job(job& it, const base::reason& why, absl::Duration retry_after);
     void drop(job& it);
     void end(job& it, schema::job_answer answer);
-    void answer_all(job& it, const schema::job_answer& answer);
-    void add_waiter(job& it, const job_waiter& waiter);
-    void answer_overdue_waiters(job& it, absl::Time now);
     void check_closing(job& it, absl::Time now);
     void due(job& it, absl::Time now);
     void forget_if_over(job& it, absl::Time now);
 
-    parts of_;                                                ///< the other classes of the core
-    entry_context& context_;                                  ///< ports and counters
-    job_table& jobs_;                                         ///< jobs and refusals
-    hooks call_;                                              ///< delivers answers
-    bool is_draining_ = false;                                ///< new submissions are refused
-    std::size_t verifying_ = 0;                               ///< refusals that wait for the ledger
-    absl::flat_hash_map<std::uint64_t, std::string> callers_; ///< request id to submission id
+    parts of_;                  ///< the other classes of the core
+    entry_context& context_;    ///< ports and counters
+    job_table& jobs_;           ///< jobs and refusals
+    job_waiters waiters_;       ///< callers to be answered
+    moved_handler moved_;       ///< takes waiters of jobs that belong elsewhere
+    bool is_draining_ = false;  ///< new submissions are refused
+    std::size_t verifying_ = 0; ///< refusals that wait for the ledger
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -11,6 +11,7 @@
   entry/job_flow.cpp
   entry/job_policy.cpp
   entry/job_table.cpp
+  entry/job_waiters.cpp
   entry/keeper_client.cpp
   entry/membership.cpp
   entry/recovery.cpp
--- a/savoryreach/entry/task_results.cpp
+++ b/savoryreach/entry/task_results.cpp
@@ -44,12 +44,11 @@
     return it;
 }
 
-void task_results::settle(job& it, job_task& task, const base::node_name& agent, attempt_result how,
+void task_results::settle(job& it, job_task& task, const agent_link& link, attempt_result how,
                           absl::Duration run_time)
 {
     of_.queue.attempt_ended(it, task.charged, run_time);
-    of_.endpoints.attempt_ended(agent, it.submission.kind(), static_cast<std::uint64_t>(it.number),
-                                how, run_time, of_.context.now());
+    of_.agents.attempt_ended(link, it, how, run_time);
 }
 
 void task_results::result(agent_link& link, const schema::task_result& result)
@@ -70,13 +69,13 @@
     switch (result.outcome())
     {
     case schema::task_succeeded:
-        settle(*it, task, link.life.name, attempt_result::succeeded, run_time);
+        settle(*it, task, link, attempt_result::succeeded, run_time);
         break;
     case schema::task_not_started:
-        settle(*it, task, link.life.name, attempt_result::not_started, absl::ZeroDuration());
+        settle(*it, task, link, attempt_result::not_started, absl::ZeroDuration());
         break;
     default:
-        settle(*it, task, link.life.name, attempt_result::failed, run_time);
+        settle(*it, task, link, attempt_result::failed, run_time);
         break;
     }
     apply(*it, result.task(), link.life.name, result);
@@ -91,7 +90,7 @@
     auto* it = take(link, result.submission_id(), result.task(), result.attempt());
     if (it != nullptr)
     {
-        settle(*it, it->tasks[result.task()], link.life.name, attempt_result::not_started,
+        settle(*it, it->tasks[result.task()], link, attempt_result::not_started,
                absl::ZeroDuration());
         given_back(*it, result.task());
     }
--- a/savoryreach/entry/task_results.hpp
+++ b/savoryreach/entry/task_results.hpp
@@ -50,7 +50,7 @@
     void recalled(agent_link& link, const schema::recall_result& result);
     job* take(agent_link& link, const std::string& submission_id, std::uint32_t task,
               std::uint32_t attempt);
-    void settle(job& it, job_task& task, const base::node_name& agent, attempt_result how,
+    void settle(job& it, job_task& task, const agent_link& link, attempt_result how,
                 absl::Duration run_time);
     void apply(job& it, std::uint32_t index, const base::node_name& agent,
                const schema::task_result& result);
