--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -1,1 +1,12 @@
-target_sources(savoryreach PRIVATE)
+target_sources(savoryreach PRIVATE
+  daemon/answer_waiters.cpp
+  daemon/caller_api.cpp
+  daemon/control_loop.cpp
+  daemon/http_endpoint.cpp
+  daemon/http_server.cpp
+  daemon/logger.cpp
+  daemon/node.cpp
+  daemon/shutdown_signal.cpp
+  daemon/status_pages.cpp
+  daemon/submission_json.cpp
+  daemon/thread_per_connection.cpp)
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -1,4 +1,12 @@
 target_sources(savoryreach PRIVATE
+  entry/admission.cpp
+  entry/endpoint_standing.cpp
+  entry/fair_queue.cpp
+  entry/kind_estimates.cpp
+  entry/placement.cpp
+  entry/placement_state.cpp
+  entry/retry_budget.cpp
+  entry/share_schedule.cpp
   entry/agent_table.cpp
   entry/answers.cpp
   entry/claim_client.cpp
--- a/tests/agent/sources.cmake
+++ b/tests/agent/sources.cmake
@@ -1,1 +1,6 @@
 # Tests of this folder.
+savoryreach_test(agent_test
+  agent/agent_core_test.cpp
+  agent/scripted_cluster.cpp)
+savoryreach_test(credit_test
+  agent/credit_allocator_test.cpp)
