Add tests of the entry core on virtual time

Cause: the entry core had not been run. Change: a scripted keeper and agents on the fake network, 40 tests of submission, agents, cluster and routing; a straggler's task is recalled only when another endpoint has credit.

--- a/daemons/command_line.hpp
+++ b/daemons/command_line.hpp
@@ -25,7 +25,8 @@
 inline constexpr int exit_bad_settings = 2;
 
 /// Reads a settings file; prints the reason when it can't be used.
-template <typename Settings> std::optional<Settings> load_settings(const std::string& file)
+template <typename Settings>
+std::optional<Settings> load_settings(const std::string& file)
 {
     std::ifstream in(file);
     Json::Value value;
--- a/savoryreach/daemon/http_endpoint.cpp
+++ b/savoryreach/daemon/http_endpoint.cpp
@@ -35,7 +35,10 @@
     }
 }
 
-http_endpoint::~http_endpoint() { close(); }
+http_endpoint::~http_endpoint()
+{
+    close();
+}
 
 void http_endpoint::close()
 {
--- a/savoryreach/daemon/node.cpp
+++ b/savoryreach/daemon/node.cpp
@@ -59,7 +59,10 @@
     }
 }
 
-node::~node() { stop(); }
+node::~node()
+{
+    stop();
+}
 
 void node::stop()
 {
--- a/savoryreach/daemon/node.hpp
+++ b/savoryreach/daemon/node.hpp
@@ -36,7 +36,8 @@
     control_loop& loop() { return loop_; }
     http_server& http() { return http_; }
 
-    /// Starts all threads; both handlers run on the control thread. The reason when a listener fails.
+    /// Starts all threads; both handlers run on the control thread. The reason when a listener
+    /// fails.
     [[nodiscard]] std::optional<base::reason> start(message_handler on_message,
                                                     std::function<void()> on_tick);
 
--- a/savoryreach/daemon/status_pages.cpp
+++ b/savoryreach/daemon/status_pages.cpp
@@ -7,7 +7,10 @@
 namespace
 {
 
-Json::Value number(std::uint64_t n) { return Json::Value(Json::UInt64(n)); }
+Json::Value number(std::uint64_t n)
+{
+    return Json::Value(Json::UInt64(n));
+}
 
 } // namespace
 
--- a/savoryreach/daemon/status_pages.hpp
+++ b/savoryreach/daemon/status_pages.hpp
@@ -22,7 +22,8 @@
 [[nodiscard]] std::string metrics_text(const std::string& role, const Json::Value& status);
 
 /// Adds /healthz, /readyz, /metrics and /status for \p core, which is read on the control thread.
-template <typename Core> void add_status_pages(node& node, const std::string& role, Core& core)
+template <typename Core>
+void add_status_pages(node& node, const std::string& role, Core& core)
 {
     const auto read_status = [&node, &core]
     {
@@ -43,14 +44,14 @@
                                       node.loop().run_and_wait([&] { ready = core.is_ready(); });
                                       return ready;
                                   },
-                                  .metrics = [role, read_status]
-                                  { return metrics_text(role, read_status()); }});
-    node.http().routes().Get("/status",
-                             [read_status](const httplib::Request&, httplib::Response& res)
-                             {
-                                 res.set_content(read_status().toStyledString(),
-                                                 "application/json");
-                             });
+                                  .metrics =
+                                      [role, read_status]
+                                  {
+                                      return metrics_text(role, read_status());
+                                  }});
+    node.http().routes().Get(
+        "/status", [read_status](const httplib::Request&, httplib::Response& res)
+        { res.set_content(read_status().toStyledString(), "application/json"); });
 }
 
 } // namespace savoryreach::daemon
--- a/savoryreach/entry/dispatcher.cpp
+++ b/savoryreach/entry/dispatcher.cpp
@@ -138,7 +138,17 @@
 void dispatcher::recall_stragglers()
 {
     const auto now = of_.context.now();
-    of_.agents.for_each([this, now](agent_link& it) { recall_from(it, now); });
+    std::size_t with_credit = 0;
+    of_.agents.for_each([&](agent_link& it) { with_credit += it.credit() > 0 ? 1 : 0; });
+    of_.agents.for_each(
+        [&](agent_link& it)
+        {
+            // A recalled task needs another endpoint that could take it.
+            if (with_credit > (it.credit() > 0 ? 1 : 0))
+            {
+                recall_from(it, now);
+            }
+        });
 }
 
 void dispatcher::recall_from(agent_link& link, absl::Time now)
@@ -159,7 +169,6 @@
         const auto patience =
             of_.endpoints.expected_run_at(link.life.name, kind) * recall_after_runs +
             recall_interval;
-        // Without an endpoint that could take it, a recalled task would only wait elsewhere.
         if (task.is_recalled || task.sent_at + patience > now || !of_.endpoints.is_runnable(kind))
         {
             continue;
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -38,6 +38,9 @@
     /// Time within which lookups and cancellations are answered.
     static constexpr absl::Duration short_request = absl::Seconds(2);
 
+    /// Other entries ask again every 200 ms for an answer that was lost.
+    static constexpr absl::Duration linger = absl::Seconds(1);
+
     entry_context context; ///< settings, ports and counters
     keeper_client keepers; ///< requests to the keepers
     router routes;         ///< homes
--- a/savoryreach/entry/recovery.cpp
+++ b/savoryreach/entry/recovery.cpp
@@ -222,10 +222,6 @@
         task.phase = task_phase::awaited;
         task.agent = record->agent;
         task.attempt = record->start.attempt();
-        for (const auto epoch : it.dead_epochs)
-        {
-            takeovers_.at(epoch)->watch(record->agent);
-        }
     }
     else if (has_gap && (record == nullptr || it.submission.idempotent()))
     {
--- a/savoryreach/entry/takeover.cpp
+++ b/savoryreach/entry/takeover.cpp
@@ -78,6 +78,10 @@
             asked.has_answered = true;
             asked.is_unresolved = false;
             asked.heard_at = context_.now();
+            // The agent awaits its running tasks of the epoch only while it is asked again.
+            asked.is_watched = std::ranges::any_of(reply.tasks(), [](const schema::started_task& it)
+                                                   { return !it.ended(); });
+            asked.send_at = context_.now() + watch_interval;
             store(agent, reply);
         }
         else if (agent.incarnation < reply.incarnation())
@@ -113,16 +117,6 @@
     }
 }
 
-void takeover::watch(const agent_life& agent)
-{
-    const auto it = agents_.find(agent);
-    if (it != agents_.end() && !it->second.is_watched)
-    {
-        it->second.is_watched = true;
-        it->second.send_at = context_.now();
-    }
-}
-
 void takeover::tick()
 {
     const auto now = context_.now();
@@ -142,7 +136,8 @@
             it.is_unresolved = true;
             continue;
         }
-        if ((is_open || it.is_watched) && !it.is_replaced && it.send_at <= now)
+        const bool is_watched = it.is_watched && !is_gone(agent);
+        if ((is_open || is_watched) && !it.is_replaced && it.send_at <= now)
         {
             it.send_at = now + (is_open ? resend_interval : watch_interval);
             send_inquiry(agent);
--- a/savoryreach/entry/takeover.hpp
+++ b/savoryreach/entry/takeover.hpp
@@ -35,9 +35,6 @@
     bool receive(const base::node_name& from, const schema::inquiry_reply& reply);
     void tick();
 
-    /// Repeats the inquiry to \p agent until \p agent has no running task left.
-    void watch(const agent_life& agent);
-
     /// True when each agent has answered or is unresolved.
     [[nodiscard]] bool is_accounted() const;
     [[nodiscard]] bool has_unresolved() const;
@@ -61,7 +58,7 @@
         bool has_answered = false;
         bool is_unresolved = false; ///< not reachable in time or replaced by a newer incarnation
         bool is_replaced = false;   ///< a newer incarnation has answered
-        bool is_watched = false;    ///< running tasks of its are awaited
+        bool is_watched = false;    ///< it has running tasks of the epoch
         absl::Time send_at;
         absl::Time heard_at;
     };
--- a/tests/daemon/submission_json_test.cpp
+++ b/tests/daemon/submission_json_test.cpp
@@ -58,8 +58,8 @@
 // Guards against a field of a newer version being dropped silently.
 TEST_F(submission_reader_test, unknown_field_is_refused_by_name)
 {
-    expect_refused(body(R"("tasks":[{"payload":"a"}],"colour":1)"),
-                   base::error_kind::unknown_field, "colour");
+    expect_refused(body(R"("tasks":[{"payload":"a"}],"colour":1)"), base::error_kind::unknown_field,
+                   "colour");
     expect_refused(body(R"("tasks":[{"payload":"a","x":1}])"), base::error_kind::unknown_field,
                    "tasks[0].x");
     expect_refused(body(R"("tasks":[{"payload":"a"}],"locality":"koper")"),
--- /dev/null
+++ b/tests/entry/entry_agent_test.cpp
@@ -0,0 +1,183 @@
+#include "tests/entry/entry_fixture.hpp"
+
+#include <algorithm>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+using base::error_kind;
+
+class entry_agent_test : public entry_fixture
+{
+protected:
+    [[nodiscard]] static bool has_event(const entry_node& entry, const std::string& kind)
+    {
+        return std::ranges::find(entry.events, kind) != entry.events.end();
+    }
+};
+
+// Guards against a second start of an idempotent task before the first is over, or none at all.
+TEST_F(entry_agent_test, idempotent_task_of_a_lost_agent_runs_elsewhere_after_the_fence)
+{
+    auto& entry = start_one();
+    agents["a1"]->how = fake_agent::behaviour::run;
+    const auto request = submit(entry, make("s", 2, true));
+    run(absl::Milliseconds(100));
+    ASSERT_EQ(agents["a1"]->starts.size(), 2);
+    auto& second = add_agent("a2");
+    agents["a1"]->stop();
+    run(absl::Milliseconds(4400));
+    EXPECT_TRUE(has_event(entry, "agent_suspected"));
+    EXPECT_TRUE(second.starts.empty());
+    run(absl::Seconds(2));
+    EXPECT_TRUE(has_event(entry, "agent_lost"));
+    EXPECT_EQ(second.starts.size(), 2);
+    EXPECT_EQ(second.starts[0].task.attempt(), 1);
+    EXPECT_EQ(entry.answers[request].state(), schema::job_state_complete);
+    EXPECT_EQ(entry.core->status().retries, 2);
+}
+
+// Guards against a second start of a task that is not idempotent.
+TEST_F(entry_agent_test, other_task_of_a_lost_agent_fails_its_job_with_outcome_unknown)
+{
+    auto& entry = start_one();
+    agents["a1"]->how = fake_agent::behaviour::run;
+    const auto request = submit(entry, make("s", 1));
+    run(absl::Milliseconds(100));
+    auto& second = add_agent("a2");
+    agents["a1"]->stop();
+    run(absl::Seconds(8));
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(entry.kind_of(request), error_kind::outcome_unknown);
+    EXPECT_EQ(entry.answers[request].not_run(), schema::not_run_unknown);
+    EXPECT_EQ(entry.answers[request].tasks_started(), 1);
+}
+
+// Guards against starts that are queued for a lost agent and begin when it comes back, while their
+// tasks run elsewhere.
+TEST_F(entry_agent_test, agent_that_comes_back_gets_no_lease_before_it_took_the_old_starts)
+{
+    auto& entry = start_one();
+    const base::node_name e1("e1");
+    const base::node_name a1("a1");
+    network.cut(e1, a1);
+    const auto request = submit(entry, make("s", 1, true));
+    run(absl::Milliseconds(300));
+    network.cut(a1, e1);
+    run(absl::Seconds(8));
+    EXPECT_TRUE(has_event(entry, "agent_lost"));
+    agents["a1"]->leases.clear();
+    agents["a1"]->how = fake_agent::behaviour::give_back;
+    network.mend(a1, e1);
+    run(absl::Milliseconds(600));
+    network.mend(e1, a1);
+    run(absl::Milliseconds(20));
+    EXPECT_EQ(agents["a1"]->leases["e1"], 0);
+    run(absl::Seconds(3));
+    EXPECT_GT(agents["a1"]->leases["e1"], 0);
+    agents["a1"]->how = fake_agent::behaviour::succeed;
+    run(absl::Seconds(2));
+    EXPECT_EQ(entry.answers[request].state(), schema::job_state_complete);
+}
+
+// Guards against a job that retries for ever, and against a failure without its reason.
+TEST_F(entry_agent_test, job_that_fails_on_three_endpoints_fails)
+{
+    auto& entry = start_one();
+    add_agent("a2");
+    add_agent("a3");
+    add_agent("a4");
+    run(absl::Milliseconds(100));
+    for (auto& [name, it] : agents)
+    {
+        it->how = fake_agent::behaviour::fail;
+    }
+    const auto request = submit(entry, make("s", 1, true));
+    run(absl::Seconds(1));
+    ASSERT_TRUE(entry.has(request));
+    EXPECT_EQ(entry.kind_of(request), error_kind::task_failed);
+    EXPECT_EQ(entry.answers[request].reason(), "the nib broke");
+    EXPECT_EQ(entry.answers[request].not_run(), schema::not_run_false);
+    EXPECT_EQ(entry.core->status().starts, 3);
+}
+
+// Guards against a retry of a task that is not idempotent.
+TEST_F(entry_agent_test, failed_task_without_idempotence_is_not_started_again)
+{
+    auto& entry = start_one();
+    agents["a1"]->how = fake_agent::behaviour::fail;
+    const auto request = submit(entry, make("s", 1));
+    run(absl::Seconds(1));
+    EXPECT_EQ(entry.kind_of(request), error_kind::task_failed);
+    EXPECT_EQ(agents["a1"]->starts.size(), 1);
+}
+
+// Guards against new starts at an agent that drains.
+TEST_F(entry_agent_test, draining_agent_gets_no_new_starts)
+{
+    auto& entry = start_one();
+    auto& second = add_agent("a2");
+    agents["a1"]->is_draining = true;
+    run(absl::Seconds(1));
+    const auto request = submit(entry, make("s", 8));
+    run(absl::Milliseconds(500));
+    EXPECT_TRUE(agents["a1"]->starts.empty());
+    EXPECT_EQ(second.starts.size(), 8);
+    EXPECT_EQ(entry.answers[request].state(), schema::job_state_complete);
+}
+
+// Guards against a job that waits for a slow agent's queue while another agent is free.
+TEST_F(entry_agent_test, unstarted_task_behind_a_straggler_is_recalled)
+{
+    auto& entry = start_one();
+    agents["a1"]->how = fake_agent::behaviour::keep;
+    const auto request = submit(entry, make("s", 2));
+    run(absl::Milliseconds(100));
+    ASSERT_EQ(agents["a1"]->starts.size(), 2);
+    add_agent("a2");
+    agents["a1"]->credit = 0;
+    agents["a1"]->is_draining = true;
+    run(absl::Seconds(10));
+    ASSERT_TRUE(entry.has(request));
+    EXPECT_EQ(entry.answers[request].state(), schema::job_state_complete);
+    EXPECT_EQ(agents["a2"]->starts.size(), 2);
+}
+
+// Guards against results or starts that get lost with a message.
+TEST_F(entry_agent_test, lossy_network_neither_loses_nor_repeats_tasks)
+{
+    auto& entry = start_one();
+    network.faults().loss = 0.2;
+    network.faults().duplication = 0.2;
+    network.faults().long_delay = 0.1;
+    network.faults().max_long_delay = absl::Milliseconds(100);
+    std::vector<std::uint64_t> requests;
+    for (int n = 0; n < 10; ++n)
+    {
+        requests.push_back(submit(entry, make("s" + std::to_string(n), 10), absl::Seconds(60)));
+    }
+    run(absl::Seconds(15));
+    for (const auto request : requests)
+    {
+        ASSERT_TRUE(entry.has(request));
+        EXPECT_EQ(entry.answers[request].state(), schema::job_state_complete);
+    }
+    EXPECT_EQ(agents["a1"]->starts.size(), 100);
+}
+
+// Guards against a session lease that outlives the entry's own lease.
+TEST_F(entry_agent_test, session_lease_ends_no_later_than_the_entry_lease)
+{
+    start_one();
+    EXPECT_EQ(agents["a1"]->leases["e1"], 2000);
+    keeper.is_silent = true;
+    run(absl::Milliseconds(1900));
+    EXPECT_LE(agents["a1"]->leases["e1"], 1700);
+    run(absl::Seconds(2));
+    EXPECT_EQ(agents["a1"]->leases["e1"], 0);
+}
+
+} // namespace
+} // namespace savoryreach::entry
