--- a/daemons/command_line.hpp
+++ b/daemons/command_line.hpp
@@ -37,8 +37,10 @@
         std::cerr << file << ": " << errors << "\n";
         return std::nullopt;
     }
-    const auto status = google::protobuf::util::JsonStringToMessage(
-        Json::writeString(Json::StreamWriterBuilder(), value), &settings);
+    Json::StreamWriterBuilder writer;
+    writer["commentStyle"] = "None";
+    const auto status =
+        google::protobuf::util::JsonStringToMessage(Json::writeString(writer, value), &settings);
     if (!status.ok())
     {
         std::cerr << file << ": " << status.ToString() << "\n";
--- a/tests/entry/sources.cmake
+++ b/tests/entry/sources.cmake
@@ -7,3 +7,4 @@
   entry/fake_agent.cpp
   entry/fake_keeper.cpp
   entry/router_test.cpp)
+include(entry/policy_sources.cmake)
