--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -38,6 +38,9 @@
     /// Time within which lookups and cancellations are answered.
     static constexpr absl::Duration short_request = absl::Seconds(2);
 
+    /// Other entries ask again every 200 ms for an answer that was lost.
+    static constexpr absl::Duration linger = absl::Seconds(1);
+
     entry_context context; ///< settings, ports and counters
     keeper_client keepers; ///< requests to the keepers
     router routes;         ///< homes
@@ -77,6 +80,8 @@
     void redirect(const base::node_name& to, std::uint64_t request_id,
                   const base::node_name& owner);
     void leave_when_idle();
+
+    absl::Time busy_at = absl::InfinitePast(); ///< when something was in flight last
     [[nodiscard]] std::string describe_agents() const;
     [[nodiscard]] std::string describe_teams() const;
     [[nodiscard]] std::string describe_jobs() const;
