--- a/daemons/agent_main.cpp
+++ b/daemons/agent_main.cpp
@@ -1,6 +1,7 @@
 #include "daemons/command_line.hpp"
 #include "savoryreach/agent/agent_core.hpp"
 #include "savoryreach/daemon/http_endpoint.hpp"
+#include "savoryreach/daemon/operator_calls.hpp"
 #include "savoryreach/daemon/status_pages.hpp"
 
 namespace savoryreach
@@ -8,9 +9,8 @@
 namespace
 {
 
-int serve(schema::agent_settings settings)
+int serve(const schema::agent_settings& settings)
 {
-    settings.set_max_result_bytes(16777216);
     daemon::node node(settings.common(), "agent", {});
     agent::agent_core* running_core = nullptr;
     const auto address = net::parse_address(settings.endpoint());
@@ -21,10 +21,16 @@
     agent::agent_core core(
         settings, {node.clock(), node.random(), node.transport(), endpoint, node.events()});
     running_core = &core;
+    daemon::json_rpc_server rpc(node.http());
+    daemon::add_operator_calls(rpc, node, core);
     daemon::add_status_pages(node, "agent", core);
     const auto error = node.start([&core](const base::node_name& from, const schema::envelope& it)
                                   { core.receive(from, it); },
-                                  [&core] { core.tick(); });
+                                  [&]
+                                  {
+                                      core.tick();
+                                      node.set_incarnation(core.status().incarnation);
+                                  });
     const int code = daemons::finish(node, core, error);
     endpoint.close();
     node.stop();
--- a/daemons/command_line.hpp
+++ b/daemons/command_line.hpp
@@ -4,16 +4,15 @@
 #include "savoryreach/base/error.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/daemon/node.hpp"
+#include "savoryreach/daemon/settings.hpp"
 #include "savoryreach/daemon/shutdown_signal.hpp"
 
 #include <gflags/gflags.h>
-#include <google/protobuf/util/json_util.h>
-#include <json/json.h>
 
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <string>
+#include <vector>
 
 DECLARE_string(settings);
 DECLARE_bool(check_settings);
@@ -24,31 +23,6 @@
 /// Exit code for settings or a command line that can't be used.
 inline constexpr int exit_bad_settings = 2;
 
-/// Reads a settings file; prints the reason when it can't be used.
-template <typename Settings>
-std::optional<Settings> load_settings(const std::string& file)
-{
-    std::ifstream in(file);
-    Json::Value value;
-    std::string errors;
-    Settings settings;
-    if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &errors))
-    {
-        std::cerr << file << ": " << errors << "\n";
-        return std::nullopt;
-    }
-    Json::StreamWriterBuilder writer;
-    writer["commentStyle"] = "None";
-    const auto status =
-        google::protobuf::util::JsonStringToMessage(Json::writeString(writer, value), &settings);
-    if (!status.ok())
-    {
-        std::cerr << file << ": " << status.ToString() << "\n";
-        return std::nullopt;
-    }
-    return settings;
-}
-
 /// The main function of every daemon: command line, settings, log, then \p serve.
 template <typename Settings, typename Serve>
 int run_daemon(int argc, char** argv, const std::string& usage, Serve serve)
@@ -57,9 +31,14 @@
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const daemon::shutdown_signal signals;
-    const auto settings = load_settings<Settings>(FLAGS_settings);
+    std::vector<std::string> errors;
+    const auto settings = daemon::read_settings<Settings>(FLAGS_settings, errors);
     if (!settings)
     {
+        for (const auto& it : errors)
+        {
+            std::cerr << it << "\n";
+        }
         return exit_bad_settings;
     }
     if (FLAGS_check_settings)
--- a/daemons/entry_main.cpp
+++ b/daemons/entry_main.cpp
@@ -1,6 +1,7 @@
 #include "daemons/command_line.hpp"
 #include "savoryreach/daemon/answer_waiters.hpp"
 #include "savoryreach/daemon/caller_api.hpp"
+#include "savoryreach/daemon/operator_calls.hpp"
 #include "savoryreach/daemon/status_pages.hpp"
 #include "savoryreach/entry/entry_core.hpp"
 
@@ -9,12 +10,8 @@
 namespace
 {
 
-int serve(schema::entry_settings settings)
+int serve(const schema::entry_settings& settings)
 {
-    settings.set_max_connections(1024);
-    settings.set_max_body_bytes(8388608);
-    settings.set_max_jobs(100000);
-    settings.set_max_waiting_tasks(1000000);
     daemon::answer_waiters waiters;
     daemon::node node(settings.common(), "entry",
                       {.max_connections = settings.max_connections(),
@@ -22,10 +19,16 @@
     entry::entry_core core(settings,
                            {node.clock(), node.random(), node.transport(), waiters, node.events()});
     const daemon::caller_api callers(node.http(), node.loop(), core, waiters);
+    daemon::json_rpc_server rpc(node.http());
+    daemon::add_operator_calls(rpc, node, core);
     daemon::add_status_pages(node, "entry", core);
     const auto error = node.start([&core](const base::node_name& from, const schema::envelope& it)
                                   { core.receive(from, it); },
-                                  [&core] { core.tick(); });
+                                  [&]
+                                  {
+                                      core.tick();
+                                      node.set_incarnation(core.status().epoch);
+                                  });
     const int code = daemons::finish(node, core, error);
     node.stop();
     return code;
--- a/daemons/keeper_main.cpp
+++ b/daemons/keeper_main.cpp
@@ -1,4 +1,5 @@
 #include "daemons/command_line.hpp"
+#include "savoryreach/daemon/keeper_operator_api.hpp"
 #include "savoryreach/daemon/status_pages.hpp"
 #include "savoryreach/keeper/keeper_core.hpp"
 #include "savoryreach/storage/file_log_storage.hpp"
@@ -39,6 +40,7 @@
         settings, std::move(opened->state),
         {node.clock(), node.random(), node.transport(), *opened->storage, node.events()});
     running_core = &core;
+    const daemon::keeper_operator_api operators(node, core);
     daemon::add_status_pages(node, "keeper", core);
     const auto error = node.start([&core](const base::node_name& from, const schema::envelope& it)
                                   { core.receive(from, it); },
--- a/savoryreach/daemon/node.cpp
+++ b/savoryreach/daemon/node.cpp
@@ -41,15 +41,24 @@
 } // namespace
 
 node::node(const schema::common_settings& settings, const std::string& role, http_limits limits)
-    : settings_(settings), random_(random_seed()),
-      events_(std::make_unique<observe::null_event_sink>()),
+    : settings_(settings), random_(random_seed()), hybrid_(clock_),
       loop_(max_waiting_events, tick_interval), http_(limits),
       transport_(
           transport_options(settings, role),
           [this](const base::node_name& from, std::vector<schema::envelope> messages)
           { handle_messages(from, std::move(messages)); },
-          log_notice)
+          log_notice),
+      stamped_(transport_, hybrid_)
 {
+    if (!settings.event_file().empty())
+    {
+        event_log_ =
+            observe::event_log::open(settings.event_file(), {settings.name(), hybrid_, clock_});
+        if (!event_log_)
+        {
+            log(log_level::error, "event_file_unusable", {{"file", settings.event_file()}});
+        }
+    }
     for (const auto& it : settings.keepers())
     {
         if (it.name() != settings.name())
@@ -82,6 +91,19 @@
     return http_.start(settings_.http_listen());
 }
 
+void node::set_incarnation(std::uint64_t incarnation)
+{
+    if (event_log_)
+    {
+        event_log_->set_incarnation(incarnation);
+    }
+}
+
+void node::set_operator_reply_handler(node_transport::reply_handler on_reply)
+{
+    stamped_.set_reply_handler(std::move(on_reply));
+}
+
 void node::handle_messages(const base::node_name& from, std::vector<schema::envelope> messages)
 {
     loop_.try_post(
@@ -89,6 +111,7 @@
         {
             for (const auto& it : batch)
             {
+                hybrid_.receive(it.hlc());
                 on_message_(from, it);
             }
         });
--- a/savoryreach/daemon/node.hpp
+++ b/savoryreach/daemon/node.hpp
@@ -5,8 +5,10 @@
 #include "savoryreach/base/system_clock.hpp"
 #include "savoryreach/daemon/control_loop.hpp"
 #include "savoryreach/daemon/http_server.hpp"
+#include "savoryreach/daemon/node_transport.hpp"
 #include "savoryreach/net/tcp_transport.hpp"
-#include "savoryreach/observe/event_sink.hpp"
+#include "savoryreach/observe/event_log.hpp"
+#include "savoryreach/observe/hybrid_clock.hpp"
 #include "schema/generated/settings.pb.h"
 
 #include <functional>
@@ -31,8 +33,15 @@
 
     [[nodiscard]] const base::clock& clock() const { return clock_; }
     base::random_source& random() { return random_; }
-    net::transport& transport() { return transport_; }
-    observe::event_sink& events() { return *events_; }
+    net::transport& transport() { return stamped_; }
+    observe::event_sink& events()
+    {
+        return event_log_ ? static_cast<observe::event_sink&>(*event_log_) : no_events_;
+    }
+    /// Names this life of the process in the events once its epoch or incarnation is known.
+    void set_incarnation(std::uint64_t incarnation);
+    /// Replies to senders with the operator prefix go to \p on_reply instead of the network.
+    void set_operator_reply_handler(node_transport::reply_handler on_reply);
     control_loop& loop() { return loop_; }
     http_server& http() { return http_; }
 
@@ -57,11 +66,14 @@
     schema::common_settings settings_;
     base::system_clock clock_;
     base::seeded_random random_;
-    std::unique_ptr<observe::event_sink> events_;
+    observe::hybrid_clock hybrid_;
+    std::unique_ptr<observe::event_log> event_log_; ///< null when no event file is set
+    observe::null_event_sink no_events_;
     message_handler on_message_;
     control_loop loop_;
     http_server http_;
     net::tcp_transport transport_;
+    node_transport stamped_; ///< what the core sends through
 };
 
 } // namespace savoryreach::daemon
--- a/savoryreach/daemon/settings.cpp
+++ b/savoryreach/daemon/settings.cpp
@@ -58,8 +58,7 @@
     {
         const Json::Value& it = value[i];
         ok = it.isObject() && is_name(it["name"]) && it["address"].isString() &&
-             is_address(it["address"].asString(), false) &&
-             names.insert(it["name"].asString()).second;
+             is_address(it["address"].asString()) && names.insert(it["name"].asString()).second;
     }
     return ok;
 }
@@ -85,9 +84,9 @@
     case setting_form::optional_path:
         return value.isNull() || value.isString();
     case setting_form::address:
-        return value.isString() && is_address(value.asString(), false);
-    case setting_form::listen_address:
-        return value.isString() && is_address(value.asString(), true);
+        return value.isString() && is_address(value.asString());
+    case setting_form::optional_address:
+        return value.isNull() || value == "" || (value.isString() && is_address(value.asString()));
     case setting_form::flag:
         return value.isNull() || value.isBool();
     case setting_form::name_list:
@@ -137,7 +136,7 @@
 
 } // namespace
 
-bool is_address(const std::string& text, bool may_be_zero)
+bool is_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
     if (colon == std::string::npos)
@@ -148,7 +147,7 @@
     std::uint32_t port = 0;
     if (port_text.empty() || port_text.find_first_not_of("0123456789") != std::string::npos ||
         !absl::SimpleAtoi(port_text, &port) || port > std::numeric_limits<std::uint16_t>::max() ||
-        (port == 0 && !may_be_zero))
+        port == 0)
     {
         return false;
     }
@@ -186,6 +185,11 @@
     if (common.isObject())
     {
         check_rows("common_settings", "common.", common, file, errors);
+        const bool is_dialled = &type != schema::agent_settings::descriptor();
+        if (is_dialled && !common.isMember("listen"))
+        {
+            errors.push_back(file + ": common.listen is absent, allowed are \"ip:port\"");
+        }
     }
     else
     {
--- a/savoryreach/daemon/settings.hpp
+++ b/savoryreach/daemon/settings.hpp
@@ -34,8 +34,8 @@
 /// The text of docs/settings.md, made from the table that drives defaults and checks.
 [[nodiscard]] std::string settings_reference();
 
-/// True for "ip:port" or "[ipv6]:port" with a port of 1 to 65535, or 0 when \p may_be_zero.
-[[nodiscard]] bool is_address(const std::string& text, bool may_be_zero);
+/// True for "ip:port" or "[ipv6]:port" with a port of 1 to 65535.
+[[nodiscard]] bool is_address(const std::string& text);
 
 } // namespace savoryreach::daemon
 
--- a/savoryreach/daemon/settings_table.cpp
+++ b/savoryreach/daemon/settings_table.cpp
@@ -16,9 +16,10 @@
     setting_row{"common_settings", "name", name, "", 0, 0, 0,
                 "Name of this process; unique within the cluster."},
     setting_row{"common_settings", "data_centre", name, "", 0, 0, 0, "Data centre of this host."},
-    setting_row{"common_settings", "listen", listen_address, "", 0, 0, 0,
-                "Address for the system's own protocol."},
-    setting_row{"common_settings", "http_listen", listen_address, "", 0, 0, 0,
+    setting_row{
+        "common_settings", "listen", optional_address, "", 0, 0, 0,
+        "Address for the system's own protocol; required but for agents, which nobody dials."},
+    setting_row{"common_settings", "http_listen", address, "", 0, 0, 0,
                 "Address for HTTP: callers, /metrics, /healthz, /readyz."},
     setting_row{"common_settings", "keepers", keeper_list, "", 0, 0, 0,
                 "Names and addresses of the keepers."},
@@ -73,8 +74,8 @@
         return "text";
     case address:
         return "\"ip:port\", port 1 to 65535";
-    case listen_address:
-        return "\"ip:port\", port 0 to 65535 (0: chosen by the system)";
+    case optional_address:
+        return "\"ip:port\", port 1 to 65535, or empty";
     case flag:
         return "true or false";
     case name_list:
--- a/savoryreach/daemon/settings_table.hpp
+++ b/savoryreach/daemon/settings_table.hpp
@@ -11,15 +11,15 @@
 /// Form of a setting's value.
 enum class setting_form
 {
-    number,         ///< whole number in a range
-    name,           ///< 1 to 128 bytes
-    path,           ///< non-empty text
-    optional_path,  ///< text, may be empty
-    address,        ///< "ip:port"
-    listen_address, ///< "ip:port", port 0 lets the system choose one
-    flag,           ///< true or false
-    name_list,      ///< names, may be empty
-    keeper_list,    ///< 1 to 7 objects with name and address
+    number,           ///< whole number in a range
+    name,             ///< 1 to 128 bytes
+    path,             ///< non-empty text
+    optional_path,    ///< text, may be empty
+    address,          ///< "ip:port"
+    optional_address, ///< "ip:port", or empty
+    flag,             ///< true or false
+    name_list,        ///< names, may be empty
+    keeper_list,      ///< 1 to 7 objects with name and address
 };
 
 /// One setting. The table drives defaults, checks and docs/settings.md.
--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -4,8 +4,12 @@
   daemon/control_loop.cpp
   daemon/http_endpoint.cpp
   daemon/http_server.cpp
+  daemon/json_rpc.cpp
+  daemon/keeper_operator_api.cpp
   daemon/logger.cpp
   daemon/node.cpp
+  daemon/node_transport.cpp
+  daemon/operator_calls.cpp
   daemon/settings.cpp
   daemon/settings_table.cpp
   daemon/shutdown_signal.cpp
--- a/savoryreach/net/tcp_transport.cpp
+++ b/savoryreach/net/tcp_transport.cpp
@@ -30,8 +30,13 @@
     {
         return std::nullopt;
     }
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
     boost::system::error_code ec;
-    const auto ip = asio::ip::make_address(text.substr(0, colon), ec);
+    const auto ip = asio::ip::make_address(host, ec);
     std::uint32_t port = 0;
     if (ec || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > 65535)
     {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -21,7 +21,7 @@
 public:
     std::string common = R"("common": { // this host
         "cluster": "kostumi", "name": "node-1", "data_centre": "koper",
-        "listen": "127.0.0.1:7000", "http_listen": "[::1]:0",
+        "listen": "127.0.0.1:7000", "http_listen": "[::1]:7001",
         "keepers": [{"name": "k1", "address": "127.0.0.1:7100"}]})";
     std::vector<std::string> errors;
 };
