--- a/savoryreach/agent/credit_book.hpp
+++ b/savoryreach/agent/credit_book.hpp
@@ -49,7 +49,6 @@
     };
 
     credit_allocator allocator_;
-    std::uint64_t periods_ = 0;                        ///< periods begun so far
     absl::btree_map<std::uint64_t, account> accounts_; ///< by epoch
 };
 
