--- a/savoryreach/keeper/config_table.cpp
+++ b/savoryreach/keeper/config_table.cpp
@@ -2,7 +2,7 @@
 
 #include "savoryreach/base/digest.hpp"
 #include "savoryreach/base/error.hpp"
-#include "savoryreach/keeper/config_rules.hpp"
+#include "savoryreach/config/declaration.hpp"
 #include "savoryreach/keeper/keeper_times.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -39,8 +39,8 @@
                                         ", not ", declaration.version()),
                            it->second.config_revision());
         }
-        const auto held = digest_of(current);
-        const auto offered = digest_of(declaration);
+        const auto held = config::declaration_digest(current);
+        const auto offered = config::declaration_digest(declaration);
         if (declaration.version() == current.version() && held != offered)
         {
             return refused(base::error_kind::version_conflict,
--- a/savoryreach/keeper/keeper_service.cpp
+++ b/savoryreach/keeper/keeper_service.cpp
@@ -1,6 +1,6 @@
 #include "savoryreach/keeper/keeper_service.hpp"
 
-#include "savoryreach/keeper/config_rules.hpp"
+#include "savoryreach/config/declaration.hpp"
 #include "savoryreach/keeper/keeper_times.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -223,7 +223,7 @@
 
 void keeper_service::on_config(const request_key& key, const schema::apply_config& apply)
 {
-    if (const auto why = check_declaration(apply.declaration()))
+    if (const auto why = config::validate(apply.declaration()))
     {
         schema::keeper_reply out;
         out.mutable_apply_config()->set_error_kind(static_cast<std::uint32_t>(why->kind));
--- a/savoryreach/keeper/sources.cmake
+++ b/savoryreach/keeper/sources.cmake
@@ -2,7 +2,6 @@
   keeper/agent_table.cpp
   keeper/claim_batcher.cpp
   keeper/claim_table.cpp
-  keeper/config_rules.cpp
   keeper/config_table.cpp
   keeper/durable_log.cpp
   keeper/epoch_table.cpp
