Follow the analyser in the entry core

Cause: clang-tidy named a member without suffix, a defaulted three-way comparison, and a ranges call that its parser rejects. Change: the member has its suffix, agent_life has a plain comparison, and the sorted epochs are made unique by std::unique. Conclusion: all 40 tests of entry_test pass; the analyser was stopped after 150 s and has not seen every file.

--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -329,9 +329,9 @@
 {
     if (jobs.open_jobs() > 0 || !claims.is_idle() || forwards.size() > 0)
     {
-        busy_at = context.now();
+        busy_at_ = context.now();
     }
-    if (flow.is_draining() && busy_at + linger <= context.now())
+    if (flow.is_draining() && busy_at_ + linger <= context.now())
     {
         members.leave();
     }
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -81,7 +81,7 @@
                   const base::node_name& owner);
     void leave_when_idle();
 
-    absl::Time busy_at = absl::InfinitePast(); ///< when something was in flight last
+    absl::Time busy_at_ = absl::InfinitePast(); ///< when something was in flight last
     [[nodiscard]] std::string describe_agents() const;
     [[nodiscard]] std::string describe_teams() const;
     [[nodiscard]] std::string describe_jobs() const;
--- a/savoryreach/entry/job.hpp
+++ b/savoryreach/entry/job.hpp
@@ -23,7 +23,11 @@
     base::node_name name;
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(const agent_life&, const agent_life&) = default;
+    friend bool operator==(const agent_life&, const agent_life&) = default;
+    friend bool operator<(const agent_life& a, const agent_life& b)
+    {
+        return a.name != b.name ? a.name < b.name : a.incarnation < b.incarnation;
+    }
 };
 
 /// Where a task stands.
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -224,8 +224,8 @@
         it.dead_epochs.push_back(result.previous_epoch());
     }
     std::ranges::sort(it.dead_epochs);
-    const auto repeated = std::ranges::unique(it.dead_epochs);
-    it.dead_epochs.erase(repeated.begin(), repeated.end());
+    it.dead_epochs.erase(std::unique(it.dead_epochs.begin(), it.dead_epochs.end()),
+                         it.dead_epochs.end());
     for (auto& task : it.tasks)
     {
         task.phase = task_phase::unresolved;
