--- a/savoryreach/keeper/keeper_core.cpp
+++ b/savoryreach/keeper/keeper_core.cpp
@@ -2,6 +2,8 @@
 
 #include "savoryreach/keeper/keeper_service.hpp"
 
+#include <utility>
+
 namespace savoryreach::keeper
 {
 
@@ -12,7 +14,7 @@
 
 keeper_core::keeper_core(const schema::keeper_settings& settings, stored_state stored,
                          keeper_ports ports)
-    : state_(new state{keeper_service(settings, stored, ports)})
+    : state_(new state{keeper_service(settings, std::move(stored), ports)})
 {
 }
 
--- a/savoryreach/keeper/keeper_service.cpp
+++ b/savoryreach/keeper/keeper_service.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-keeper_service::keeper_service(const schema::keeper_settings& settings, const stored_state& stored,
+keeper_service::keeper_service(const schema::keeper_settings& settings, stored_state&& stored,
                                const keeper_ports& ports)
     : ports_(ports), self_(settings.common().name()),
       log_(options_of(settings), stored, ports_, *this)
--- a/savoryreach/keeper/keeper_service.hpp
+++ b/savoryreach/keeper/keeper_service.hpp
@@ -22,7 +22,7 @@
 class keeper_service final : public log_client
 {
 public:
-    keeper_service(const schema::keeper_settings& settings, const stored_state& stored,
+    keeper_service(const schema::keeper_settings& settings, stored_state&& stored,
                    const keeper_ports& ports);
 
     void receive(const base::node_name& from, const schema::envelope& message);
--- a/savoryreach/keeper/replicated_log.cpp
+++ b/savoryreach/keeper/replicated_log.cpp
@@ -444,35 +444,6 @@
     verified_index_ = std::max(verified_index_, end);
 }
 
-void replicated_log::append_local(std::vector<schema::log_entry> entries)
-{
-    bool members_changed = false;
-    for (const auto& entry : entries)
-    {
-        if (entry.command().has_keepers())
-        {
-            members_.append(entry.index(), entry.command().keepers());
-            members_changed = true;
-        }
-    }
-    log_.append(std::move(entries));
-    if (members_changed)
-    {
-        learn_addresses();
-    }
-}
-
-void replicated_log::learn_addresses()
-{
-    for (const auto& member : members_.current().members())
-    {
-        if (member.name() != options_.self && !member.address().empty())
-        {
-            ports_.transport.learn_address(base::node_name(member.name()), member.address());
-        }
-    }
-}
-
 void replicated_log::acknowledge(const base::node_name& to, bool success, std::uint64_t match)
 {
     schema::envelope message;
--- a/savoryreach/keeper/replicated_log_commit.cpp
+++ b/savoryreach/keeper/replicated_log_commit.cpp
@@ -1,4 +1,4 @@
-// Commit, snapshots and membership changes of replicated_log.
+// Proposals, commit, snapshots and membership changes of replicated_log.
 
 #include "savoryreach/keeper/keeper_times.hpp"
 #include "savoryreach/keeper/replicated_log.hpp"
@@ -58,6 +58,35 @@
     return log_.last_index();
 }
 
+void replicated_log::append_local(std::vector<schema::log_entry> entries)
+{
+    bool members_changed = false;
+    for (const auto& entry : entries)
+    {
+        if (entry.command().has_keepers())
+        {
+            members_.append(entry.index(), entry.command().keepers());
+            members_changed = true;
+        }
+    }
+    log_.append(std::move(entries));
+    if (members_changed)
+    {
+        learn_addresses();
+    }
+}
+
+void replicated_log::learn_addresses()
+{
+    for (const auto& member : members_.current().members())
+    {
+        if (member.name() != options_.self && !member.address().empty())
+        {
+            ports_.transport.learn_address(base::node_name(member.name()), member.address());
+        }
+    }
+}
+
 void replicated_log::on_append_reply(const schema::append_reply& reply)
 {
     if (failed_)
--- a/tests/keeper/ledger_test.cpp
+++ b/tests/keeper/ledger_test.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr std::int64_t minute_ms = 60'000;
-constexpr std::int64_t day_ms = 24 * 60 * minute_ms;
+constexpr std::int64_t day_ms = 1'440 * minute_ms;
 
 /// Applies commands to one ledger at a time that the test sets.
 class ledger_fixture : public ::testing::Test
@@ -248,7 +248,7 @@
 // Guards against claims that are forgotten too early or never, and against a table without bound.
 TEST_F(ledger_fixture, claims_expire_after_retention_and_are_bounded)
 {
-    set_retention(2 * 60 * minute_ms, 1'000);
+    set_retention(7'200'000, 1'000);
     const auto a = join("a", 1);
     for (int i = 0; i < 1'000; ++i)
     {
