--- a/savoryreach/entry/job.hpp
+++ b/savoryreach/entry/job.hpp
@@ -23,7 +23,11 @@
     base::node_name name;
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(const agent_life&, const agent_life&) = default;
+    friend bool operator==(const agent_life&, const agent_life&) = default;
+    friend bool operator<(const agent_life& a, const agent_life& b)
+    {
+        return a.name != b.name ? a.name < b.name : a.incarnation < b.incarnation;
+    }
 };
 
 /// Where a task stands.
@@ -86,7 +90,7 @@
 class job
 {
 public:
-    job(job_number number, schema::submission submission, std::string digest, absl::Time now);
+    job(job_number its_number, schema::submission posted, std::string its_digest, absl::Time now);
 
     [[nodiscard]] const std::string& id() const { return submission.submission_id(); }
     [[nodiscard]] bool is_ended() const { return phase == job_phase::ended; }
