--- a/tests/simulation/fake_disk.hpp
+++ b/tests/simulation/fake_disk.hpp
@@ -32,6 +32,8 @@
     void set_sync_delay(absl::Duration delay) { sync_delay_ = delay; }
     /// Every later sync fails.
     void fail_syncs() { failing_ = true; }
+    /// The disk was replaced by one that holds what is durable; for a new process.
+    void repair() { failing_ = failed_ = false; }
 
     /// When the present sync ends; InfiniteFuture when none is running.
     [[nodiscard]] absl::Time next_sync() const { return sync_ends_at_; }
