Repeat a refusal with the time that is left until its retry deadline

Cause: a copy that arrived before the deadline got the remembered answer with its first retry time, counted from the copy's arrival, so that the caller was told a later deadline than the home kept.

--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -20,6 +20,15 @@
     return std::string(base::traits_of(kind).name);
 }
 
+/// The remembered answer with the time that is left until its retry deadline.
+schema::job_answer repeated_answer(const remembered_refusal& known, absl::Time now)
+{
+    auto answer = known.answer;
+    answer.set_retry_after_ms(static_cast<std::uint32_t>(
+        absl::ToInt64Milliseconds(absl::Ceil(known.until - now, absl::Milliseconds(1)))));
+    return answer;
+}
+
 base::reason conflict_reason()
 {
     return {base::error_kind::content_conflict, "the submission id was used with other content"};
@@ -52,7 +61,7 @@
     if (const auto* known = jobs_.refusal_of(id, context_.now()))
     {
         ++context_.counters.refused;
-        waiters_.answer(waiter, known->answer);
+        waiters_.answer(waiter, repeated_answer(*known, context_.now()));
         return;
     }
     if (is_draining_)
@@ -445,7 +454,7 @@
         return;
     }
     const auto* refused = jobs_.refusal_of(submission_id, context_.now());
-    waiters_.answer(waiter, refused != nullptr ? refused->answer
+    waiters_.answer(waiter, refused != nullptr ? repeated_answer(*refused, context_.now())
                                                : error_answer(submission_id,
                                                               {base::error_kind::not_found,
                                                                "no job of this id is known"},
