Probe once after a refused append

Cause: the leader answered each refusal with all entries in flight. While several messages were in flight, their refusals multiplied; a run with a keeper that had lost acknowledged entries did not end. The test of a slow replacement also did not notice a learner that was promoted at once.

Change: a refusal returns the leader to probing with one message until it succeeds. The test asks the leader whether the replacement is a voter.

--- a/savoryreach/keeper/replicator.cpp
+++ b/savoryreach/keeper/replicator.cpp
@@ -187,11 +187,14 @@
     }
     if (!reply.success())
     {
-        // Continue at the keeper's hint, but never before what it has acknowledged as durable.
+        // Continue at the keeper's hint, but never before what it has acknowledged as durable. Only
+        // one probe is sent until it succeeds: answering each refusal with entries would multiply
+        // the messages while several are in flight.
         const auto next = std::max(reply.match_index(), it.match_index) + 1;
-        it.next_index = std::min(next, it.next_index);
-        if (it.probing)
+        if (!it.probing || next < it.next_index)
         {
+            it.next_index = std::min(next, it.next_index);
+            it.probing = true;
             send_round_to(from, it, 0);
         }
         return;
--- a/tests/keeper/replicated_log_test.cpp
+++ b/tests/keeper/replicated_log_test.cpp
@@ -185,7 +185,12 @@
     cluster.disk("k4").set_sync_delay(absl::InfiniteDuration());
     ASSERT_TRUE(cluster.ask("operator", change("k4"))->change_keepers().accepted());
     cluster.run_for(absl::Seconds(2));
-    EXPECT_EQ(cluster.core("k4").status().role, "learner");
+    schema::keeper_request request;
+    request.mutable_view();
+    const auto view = cluster.ask("operator", request)->view();
+    ASSERT_EQ(view.keepers_size(), 3);
+    EXPECT_EQ(view.keepers(2).name(), "k4");
+    EXPECT_FALSE(view.keepers(2).voter()) << "it holds nothing yet";
     const auto leader = cluster.leader();
     for (const auto& name : cluster.running())
     {
