Refuse starts at an agent whose registration can have been expired

Cause: an agent cut off from the keepers but not from an entry was missing from fence_info after its expiry, so that the entry's successor did not ask it. Now a start needs a registration that was renewed within the expiry of 15 s, counted from the sending of the renewal. Each resent renewal counts anew; otherwise a renewal answered late gave no validity.

--- a/examples/cluster.sh
+++ b/examples/cluster.sh
@@ -2,10 +2,12 @@
 # Starts and stops the demo cluster on loopback. Source it; call start_cluster, then stop_cluster.
 # It ends only the processes that it started.
 pids=()
+declare -A pid_of # of each process with a settings file, by the file's name
 
 start_process() {
     "$@" > "run/$(basename "$1")-${#pids[@]}.out" 2>&1 &
     pids+=($!)
+    if [ "${2:-}" = --settings ]; then pid_of[$(basename "$3" .json)]=$!; fi
 }
 
 start_cluster() {
--- a/savoryreach/agent/agent_core.cpp
+++ b/savoryreach/agent/agent_core.cpp
@@ -81,7 +81,8 @@
 agent_core::state::state(const schema::agent_settings& settings_in, agent_ports ports_in)
     : settings(settings_in), ports(ports_in),
       registrar(settings_in.common(), ports.clock, ports.random, ports.transport),
-      sessions(ports.clock, views), credits(settings_in.slots(), prefetch_for(settings_in.slots())),
+      sessions(ports.clock, views, registrar),
+      credits(settings_in.slots(), prefetch_for(settings_in.slots())),
       runner(settings_in.slots(), result_bound(settings_in),
              {ports.clock, ports.endpoint, ports.events, sessions, credits})
 {
--- a/savoryreach/agent/registration.cpp
+++ b/savoryreach/agent/registration.cpp
@@ -8,7 +8,9 @@
 namespace
 {
 
-/// Keepers expire an agent after 15 s of silence, so two renewals may fail.
+/// Silence after which the keepers expire an agent.
+constexpr absl::Duration registration_expiry = absl::Seconds(15);
+/// Two of three renewals within the expiry may fail.
 constexpr absl::Duration renew_interval = absl::Seconds(5);
 /// A synced log write takes several ms; longer silence means that this keeper can't answer.
 constexpr absl::Duration answer_deadline = absl::Seconds(1);
@@ -39,6 +41,7 @@
     request_id_ = random_.next();
     is_answered_ = false;
     redirects_ = 0;
+    first_sent_at_ = absl::InfiniteFuture();
     send_at_ = at;
 }
 
@@ -48,7 +51,9 @@
     {
         return;
     }
-    if (is_answered_)
+    // Each renewal counts from its own sending; registering and leaving are one request until they
+    // are answered.
+    if (is_answered_ || phase_ == phase::registered)
     {
         begin_request(clock_.now());
     }
@@ -80,6 +85,7 @@
         request.mutable_leave_agent()->set_incarnation(incarnation_);
     }
     transport_.send(keepers_[keeper_], std::move(message));
+    first_sent_at_ = std::min(first_sent_at_, clock_.now());
     send_at_ = clock_.now() + answer_deadline;
 }
 
@@ -130,12 +136,14 @@
     {
         incarnation_ = reply.register_agent().incarnation();
         phase_ = phase::registered;
+        valid_until_ = first_sent_at_ + registration_expiry;
         return change::registered;
     }
     if (phase_ == phase::registered && reply.has_renew_agent())
     {
         if (!reply.renew_agent().expired())
         {
+            valid_until_ = first_sent_at_ + registration_expiry;
             return change::renewed;
         }
         register_anew();
@@ -154,6 +162,7 @@
     // An equal nonce would be taken for a resend and get the ended incarnation again.
     process_nonce_ = random_.next();
     incarnation_ = 0;
+    valid_until_ = absl::InfinitePast();
     phase_ = phase::registering;
     begin_request(clock_.now());
 }
--- a/savoryreach/agent/registration.hpp
+++ b/savoryreach/agent/registration.hpp
@@ -41,6 +41,9 @@
     /// Ends the registration; at once when there is none.
     void leave();
 
+    /// True while the keepers can't have expired this incarnation. Without it a start could be
+    /// missing from fence_info, which lists the agents that an entry's successor has to ask.
+    [[nodiscard]] bool is_valid(absl::Time now) const { return now < valid_until_; }
     /// 0 while not registered.
     [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
     [[nodiscard]] bool is_leaving() const { return phase_ == phase::leaving || has_left(); }
@@ -74,6 +77,8 @@
     std::uint64_t request_id_ = 0;  ///< of the current request
     bool is_answered_ = false;      ///< the current request has been answered
     absl::Time send_at_;            ///< next sending, first or again
+    absl::Time first_sent_at_;      ///< of the current request; validity counts from here
+    absl::Time valid_until_ = absl::InfinitePast(); ///< the keepers may expire it from then on
 };
 
 } // namespace savoryreach::agent
--- a/savoryreach/agent/session_table.cpp
+++ b/savoryreach/agent/session_table.cpp
@@ -9,7 +9,7 @@
 {
     const auto it = sessions_.find(epoch);
     return it != sessions_.end() && !views_.is_fenced(epoch) &&
-           it->second.is_lease_valid(clock_.now());
+           it->second.is_lease_valid(clock_.now()) && registrar_.is_valid(clock_.now());
 }
 
 void session_table::push(std::uint64_t epoch, schema::session_item item)
--- a/savoryreach/agent/session_table.hpp
+++ b/savoryreach/agent/session_table.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_AGENT_SESSION_TABLE_HPP
 
 #include "savoryreach/agent/entry_session.hpp"
+#include "savoryreach/agent/registration.hpp"
 #include "savoryreach/agent/session_directory.hpp"
 #include "savoryreach/agent/view_store.hpp"
 #include "savoryreach/base/clock.hpp"
@@ -21,7 +22,8 @@
 public:
     using map = absl::btree_map<std::uint64_t, entry_session>;
 
-    session_table(const base::clock& clock, const view_store& views) : clock_(clock), views_(views)
+    session_table(const base::clock& clock, const view_store& views, const registration& registrar)
+        : clock_(clock), views_(views), registrar_(registrar)
     {
     }
 
@@ -49,6 +51,7 @@
 private:
     const base::clock& clock_;
     const view_store& views_;
+    const registration& registrar_;
     map sessions_;
 };
 
--- a/savoryreach/agent/task_runner.cpp
+++ b/savoryreach/agent/task_runner.cpp
@@ -65,7 +65,7 @@
     }
     if (!ports_.sessions.may_start(epoch))
     {
-        return "no valid session lease";
+        return "no valid session lease or registration";
     }
     if (records_.was_recalled(id, epoch))
     {
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -316,6 +316,27 @@
     EXPECT_TRUE(entry_->results.empty());
 }
 
+// Guards against a start that the successor of a dead entry can't find: an agent that the keepers
+// have expired is no longer among those that are asked.
+TEST_F(agent_core_test, registration_not_renewed_for_15_s_refuses_starts)
+{
+    const std::vector<base::node_name> keepers{base::node_name("k0"), base::node_name("k1"),
+                                               base::node_name("k2")};
+    for (const auto& it : keepers)
+    {
+        cluster_.network.isolate(it);
+    }
+    cluster_.run_for(absl::Seconds(16));
+    start(make_start("cut-off"));
+    EXPECT_EQ(runs(), 0u);
+    ASSERT_EQ(entry_->results.size(), 1u);
+    EXPECT_EQ(entry_->results[0].outcome(), schema::task_not_started);
+    cluster_.network.mend_all();
+    cluster_.run_for(absl::Seconds(4));
+    start(make_start("back"));
+    EXPECT_EQ(runs(), 1u);
+}
+
 // Guards against a renewal that stops when a keeper falls silent.
 TEST_F(agent_core_test, silent_keeper_renewals_go_to_the_next)
 {
