Wait for the endpoint to end a stopped run before a new attempt

Cause: the agent asks its endpoint to stop a run 3 s after the session lease, and the entry started the next attempt at that same moment, while the endpoint was still ending the run. The entry now waits 3.5 s instead of 3 s.

--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -65,8 +65,9 @@
     static constexpr absl::Duration session_lease = absl::Seconds(2);
     /// Two lost heartbeats of 500 ms.
     static constexpr absl::Duration suspicion = absl::Milliseconds(1100);
-    /// An agent stops what still runs this long after its session lease has expired.
-    static constexpr absl::Duration stop_time = absl::Seconds(3);
+    /// An agent stops what still runs 3 s after its session lease has expired; the rest is for its
+    /// tick and for the endpoint to end a run whose connection is closed.
+    static constexpr absl::Duration stop_time = absl::Milliseconds(3500);
     /// Bound on the agents that are remembered, three times the design size.
     static constexpr std::size_t max_agents = 12'288;
 
