--- a/tests/simulation/invariant_checker.hpp
+++ b/tests/simulation/invariant_checker.hpp
@@ -60,7 +60,7 @@
     /// Runs at \p agent later than 3 s from now are violations, until drain_over().
     void drain_began(const std::string& agent);
     void drain_over(const std::string& agent);
-    /// An entry's epoch may have ended: a later owner may answer differently.
+    /// An entry's epoch may have ended; the next owner does not know the answers of its jobs.
     void epoch_ended() { last_epoch_end_ = clock_.now(); }
 
     [[nodiscard]] std::uint64_t starts() const { return starts_; }
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <type_traits>
 
 namespace savoryreach::simulation
 {
@@ -121,9 +122,23 @@
                         }
                         core->receive(from, altered);
                         core->tick();
+                        if constexpr (std::is_same_v<Core, keeper::keeper_core>)
+                        {
+                            note_fences(name);
+                        }
                     });
 }
 
+void simulated_cluster::note_fences(const std::string& keeper)
+{
+    auto& it = keepers_.at(keeper);
+    const auto entries = it.core->status().entries;
+    if (entries != std::exchange(it.entries, entries))
+    {
+        checker_.epoch_ended();
+    }
+}
+
 void simulated_cluster::start_keeper(const std::string& name)
 {
     auto& it = keepers_.at(name);
@@ -374,6 +389,7 @@
     {
         if (it.core)
         {
+            note_fences(name);
             ledger_checker_.keeper(name, *it.core);
             ledger_checker_.revision(name, it.life, it.core->status().config_revision);
         }
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -84,6 +84,7 @@
         std::unique_ptr<keeper::keeper_core> core;
         bool is_failure_reported = false;
         std::uint64_t life = 0;
+        std::size_t entries = 0; ///< live in the ledger
     };
 
     class answer_port;
@@ -119,6 +120,8 @@
     void start_keeper(const std::string& name);
     void start_entry(const std::string& name);
     void start_agent(const std::string& name);
+    /// Tells the checker when the ledger's live entries have changed.
+    void note_fences(const std::string& keeper);
     void sync_disks();
     void tick_all();
     void check_all();
