Claim not_run for conflicting content only once the job is claimed

Cause: a job that still waits for its claim answered copies of other content with content_conflict and not_run true, although the other content may be the one that the ledger knows and that has run.

--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -85,8 +85,9 @@
     if (it.digest != digest)
     {
         const auto why = conflict_reason();
-        waiters_.answer(
-            waiter, error_answer(submission.submission_id(), why, base::traits_of(why.kind).claim));
+        // Until the ledger has granted this job's claim, the other content may be the one that ran.
+        const auto claim = it.is_claimed ? base::traits_of(why.kind).claim : base::not_run::unknown;
+        waiters_.answer(waiter, error_answer(submission.submission_id(), why, claim));
         return;
     }
     if (job_waiters::has(it, waiter))
