Match the answer of a claim with the content that it was for

Cause: the answer of a claim was given to whichever job had the submission id. A job that was refused when its entry's lease expired left its claim in flight; after the lease was renewed a copy of other content became the new job of that id and took the first content's grant, so that it ran unclaimed.

--- a/savoryreach/entry/claim_client.cpp
+++ b/savoryreach/entry/claim_client.cpp
@@ -92,7 +92,7 @@
             claims_.push_back(batch[n]);
             continue;
         }
-        on_claim_(batch[n].submission_id(), results[static_cast<int>(n)]);
+        on_claim_(batch[n], results[static_cast<int>(n)]);
         if (epoch != epoch_)
         {
             return;
--- a/savoryreach/entry/claim_client.hpp
+++ b/savoryreach/entry/claim_client.hpp
@@ -18,7 +18,7 @@
 {
 public:
     using claim_handler =
-        std::function<void(const std::string& submission_id, const schema::claim_result& result)>;
+        std::function<void(const schema::claim& claim, const schema::claim_result& result)>;
     using finish_handler = std::function<void(const std::string& submission_id)>;
 
     claim_client(entry_context& context, keeper_client& keepers, claim_handler on_claim,
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -24,8 +24,8 @@
       jobs(max_jobs(settings)), agents(context, members, endpoints, agent_hooks()),
       claims(
           context, keepers,
-          [this](const std::string& id, const schema::claim_result& result)
-          { flow.claim_answered(id, result); },
+          [this](const schema::claim& claim, const schema::claim_result& result)
+          { flow.claim_answered(claim, result); },
           [this](const std::string& id) { flow.finish_acknowledged(id); }),
       starts(shared()), results(shared(), result_hooks()),
       takeovers(context, members, keepers, jobs, results, recovery_hooks()),
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -150,18 +150,23 @@
     of_.claims.claim(it.id(), digest);
 }
 
-void job_flow::claim_answered(const std::string& submission_id, const schema::claim_result& result)
+void job_flow::claim_answered(const schema::claim& claim, const schema::claim_result& result)
 {
     if (result.outcome() == schema::claim_fenced)
     {
         of_.shared.members.epoch_fenced();
         return;
     }
-    auto* it = jobs_.find(submission_id);
+    auto* it = jobs_.find(claim.submission_id());
     if (it == nullptr || it->is_ended() || it->is_claimed)
     {
         return;
     }
+    if (it->digest != claim.digest())
+    {
+        // The claim of a refused job whose id was used again meanwhile; this job's own follows.
+        return;
+    }
     switch (result.outcome())
     {
     case schema::claim_granted:
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -51,7 +51,7 @@
     void cancel(const std::string& submission_id, const job_waiter& waiter);
     void caller_gone(std::uint64_t request_id) { waiters_.remove_caller(request_id); }
 
-    void claim_answered(const std::string& submission_id, const schema::claim_result& result);
+    void claim_answered(const schema::claim& claim, const schema::claim_result& result);
     void finish_acknowledged(const std::string& submission_id);
 
     /// A task of the job has ended.
