--- a/tests/simulation/sources.cmake
+++ b/tests/simulation/sources.cmake
@@ -16,3 +16,40 @@
   simulation/simulated_operators.cpp
   simulation/tampering.cpp)
 target_link_libraries(randomised_run PRIVATE savoryreach_simulation savoryreach PkgConfig::GFLAGS)
+
+# A fixed set of seeds; the target for all tests of this file is 60 s in the release build.
+foreach(first 1 11 21 31)
+  add_test(NAME randomised_run.seeds_from_${first}
+    COMMAND randomised_run --seed ${first} --seeds 10 --events 60000)
+endforeach()
+# Guards against a source of chance outside of the seed.
+add_test(NAME randomised_run.equal_seed_equal_hash
+  COMMAND randomised_run --seed 7 --events 60000 --twice)
+
+# Guards against a check that never fails: each deliberate fault must be reported by the check that
+# covers it. The seed is one in which the fault has its occasion.
+function(randomised_run_break name seed invariant)
+  add_test(NAME randomised_run.break_${name}
+    COMMAND randomised_run --seed ${seed} --events 60000 --break ${name})
+  set_tests_properties(randomised_run.break_${name} PROPERTIES
+    PASS_REGULAR_EXPRESSION "VIOLATION [^\n]*invariant=${invariant} " TIMEOUT 120)
+endfunction()
+
+randomised_run_break(double_start 1 at_most_once)
+randomised_run_break(overlapping_stop 3 one_attempt)
+randomised_run_break(endless_starts 3 bounded_starts)
+randomised_run_break(altered_output 1 complete_answer)
+randomised_run_break(swapped_answer 1 own_answer)
+randomised_run_break(dropped_output 1 complete_answer)
+randomised_run_break(contradiction 1 equal_answers)
+randomised_run_break(false_not_run 1 not_run)
+randomised_run_break(unheard_refusal 1 not_run)
+randomised_run_break(ignored_drain 1 drain)
+randomised_run_break(early_ack 1 log)
+randomised_run_break(restored_agent 2 at_most_once)
+randomised_run_break(silent_restart 1 config_revision)
+randomised_run_break(altered_view 1 config_content)
+randomised_run_break(altered_append 1 log)
+randomised_run_break(stopped_clock 2 one_leader)
+randomised_run_break(lost_answer 1 liveness)
+randomised_run_break(withheld_config 1 config_delay)
