--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -85,8 +85,9 @@
     if (it.digest != digest)
     {
         const auto why = conflict_reason();
-        waiters_.answer(
-            waiter, error_answer(submission.submission_id(), why, base::traits_of(why.kind).claim));
+        // Until the ledger has granted this job's claim, the other content may be the one that ran.
+        const auto claim = it.is_claimed ? base::traits_of(why.kind).claim : base::not_run::unknown;
+        waiters_.answer(waiter, error_answer(submission.submission_id(), why, claim));
         return;
     }
     if (job_waiters::has(it, waiter))
@@ -149,18 +150,23 @@
     of_.claims.claim(it.id(), digest);
 }
 
-void job_flow::claim_answered(const std::string& submission_id, const schema::claim_result& result)
+void job_flow::claim_answered(const schema::claim& claim, const schema::claim_result& result)
 {
     if (result.outcome() == schema::claim_fenced)
     {
         of_.shared.members.epoch_fenced();
         return;
     }
-    auto* it = jobs_.find(submission_id);
+    auto* it = jobs_.find(claim.submission_id());
     if (it == nullptr || it->is_ended() || it->is_claimed)
     {
         return;
     }
+    if (it->digest != claim.digest())
+    {
+        // The claim of a refused job whose id was used again meanwhile; this job's own follows.
+        return;
+    }
     switch (result.outcome())
     {
     case schema::claim_granted:
