--- a/tools/load/outcome.hpp
+++ b/tools/load/outcome.hpp
@@ -51,9 +51,10 @@
     std::uint64_t starts = 0;        ///< runs that an endpoint began
     std::uint64_t started_tasks = 0; ///< distinct tasks among them
     std::uint64_t double_starts = 0; ///< starts of tasks that must run at most once, beyond one
+    double work_started = 0;         ///< seconds at speed 1 of all starts, also of jobs that failed
     double processor_s = 0;
-    std::map<std::string, stage> stages;                ///< by name
-    std::map<std::string, std::uint64_t> session_items; ///< items in session frames, by sort
+    std::map<std::string, stage> stages;                 ///< by name
+    std::map<std::string, std::uint64_t> session_frames; ///< by the sorts of items in them
 };
 
 } // namespace savoryreach::load
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -42,9 +42,9 @@
         per_task(m.total(), run), per_task(m.session, run), per_task(m.hello, run),
         per_task(m.keeper_clients, run), per_task(m.keeper_internal, run),
         per_task(m.forward, run));
-    for (const auto& [name, n] : run.session_items)
+    for (const auto& [name, n] : run.session_frames)
     {
-        std::cout << absl::StrFormat("    item %-29s %.3f per task\n", name, per_task(n, run));
+        std::cout << absl::StrFormat("    frame %-28s %.3f per task\n", name, per_task(n, run));
     }
 }
 
@@ -129,6 +129,7 @@
             other.push_back(it.response_s);
         }
     }
+    result.started = run.work_started / (workload.duration_s * endpoints.capacity());
     result.offered /= window * endpoints.capacity();
     result.goodput /= window * endpoints.capacity();
     result.to_ideal = quantiles_of(std::move(to_ideal));
@@ -152,8 +153,8 @@
     print_quantiles("response / clairvoyant", it.to_reference);
     print_quantiles("response, s", it.response_s);
     std::cout << absl::StrFormat(
-        "  share of capacity                  offered %.3f  goodput %.3f\n", it.offered,
-        it.goodput);
+        "  share of capacity                  offered %.3f  started %.3f  goodput %.3f\n",
+        it.offered, it.goodput);
     print_messages(it.run);
     std::cout << absl::StrFormat("  starts per task                    %.5f (%d beyond one of "
                                  "tasks that are not idempotent)\n",
@@ -188,6 +189,7 @@
     value["response_to_clairvoyant"] = quantiles_json(it.to_reference);
     value["response_s"] = quantiles_json(it.response_s);
     value["offered"] = it.offered;
+    value["started"] = it.started;
     value["goodput"] = it.goodput;
     value["other_work_per_s"] = it.other_work_per_s;
     value["other_response_s"] = quantiles_json(it.other_response_s);
--- a/tools/load/report.hpp
+++ b/tools/load/report.hpp
@@ -35,6 +35,7 @@
     quantiles to_reference;                    ///< response / clairvoyant schedule
     quantiles response_s;
     double offered = 0;          ///< work that arrived, share of capacity
+    double started = 0;          ///< work of all starts during the arrivals, share of capacity
     double goodput = 0;          ///< work of jobs completed within the window, share of capacity
     double other_work_per_s = 0; ///< completed outside of the flooding kind, middle third
     quantiles other_response_s;  ///< of jobs outside of the flooding kind, middle third
--- a/tools/load/virtual_cluster.cpp
+++ b/tools/load/virtual_cluster.cpp
@@ -1,8 +1,11 @@
 #include "tools/load/virtual_cluster.hpp"
 
+#include "tools/load/workload.hpp"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace savoryreach::load
@@ -14,10 +17,21 @@
 constexpr absl::Duration answer_margin = absl::Minutes(10);
 constexpr std::uint32_t snapshot_every = 50'000;
 
-std::string sort_of(const schema::session_item& item)
+/// The sorts of items in a frame, in the order of the schema.
+std::string content_of(const schema::session_frame& frame)
 {
-    const auto* field = item.GetDescriptor()->FindFieldByNumber(static_cast<int>(item.body_case()));
-    return field != nullptr ? std::string(field->name()) : "none";
+    std::set<int> sorts;
+    for (const auto& item : frame.items())
+    {
+        sorts.insert(static_cast<int>(item.body_case()));
+    }
+    std::string text;
+    for (const int sort : sorts)
+    {
+        const auto* field = schema::session_item::descriptor()->FindFieldByNumber(sort);
+        absl::StrAppend(&text, text.empty() ? "" : "+", std::string(field->name()));
+    }
+    return text.empty() ? "acknowledgement only" : text;
 }
 
 } // namespace
@@ -172,6 +186,7 @@
 void virtual_cluster::started(const agent::run_request& request)
 {
     ++starts_;
+    work_started_ += work_of(request.payload);
     const auto& id = request.attempt.submission_id;
     const auto n = ++started_[absl::StrCat(id, "/", request.attempt.task)];
     if (n > 1 && once_.contains(id))
@@ -187,14 +202,7 @@
     if (message.has_session())
     {
         ++messages_.session;
-        if (message.session().items().empty())
-        {
-            ++session_items_["(acknowledgement only)"];
-        }
-        for (const auto& item : message.session().items())
-        {
-            ++session_items_[sort_of(item)];
-        }
+        ++session_frames_[content_of(message.session())];
     }
     else if (message.has_agent_hello() || message.has_agent_hello_reply())
     {
@@ -326,16 +334,18 @@
 void virtual_cluster::reset_counts()
 {
     messages_ = {};
-    session_items_.clear();
+    session_frames_.clear();
     starts_ = 0;
+    work_started_ = 0;
     started_.clear();
 }
 
 void virtual_cluster::collect(run_result& result) const
 {
     result.messages = messages_;
-    result.session_items = session_items_;
+    result.session_frames = session_frames_;
     result.starts = starts_;
+    result.work_started = work_started_;
     result.started_tasks = started_.size();
     result.double_starts = double_starts_;
     result.stages = trace_.stages();
--- a/tools/load/virtual_cluster.hpp
+++ b/tools/load/virtual_cluster.hpp
@@ -94,8 +94,9 @@
     std::vector<node*> dirty_; ///< nodes with events since their last tick
     absl::Time tick_at_;
     message_counts messages_;
-    std::map<std::string, std::uint64_t> session_items_;
+    std::map<std::string, std::uint64_t> session_frames_;
     std::uint64_t starts_ = 0;
+    double work_started_ = 0; ///< seconds at speed 1
     std::uint64_t double_starts_ = 0;
     absl::flat_hash_map<std::string, std::uint32_t> started_; ///< starts by submission and task
     absl::flat_hash_set<std::string> once_; ///< submissions that are not idempotent
