--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -154,7 +154,7 @@
     print_quantiles("response, s", it.response_s);
     std::cout << absl::StrFormat(
         "  share of capacity                  offered %.3f  started %.3f  goodput %.3f\n",
-        it.offered, it.goodput);
+        it.offered, it.started, it.goodput);
     print_messages(it.run);
     std::cout << absl::StrFormat("  starts per task                    %.5f (%d beyond one of "
                                  "tasks that are not idempotent)\n",
