Collect finishes for 500 ms before they go to the ledger

Cause: each small job's finish made a log entry of its own: six messages per job that nobody waits for.

--- a/savoryreach/entry/claim_client.cpp
+++ b/savoryreach/entry/claim_client.cpp
@@ -33,6 +33,10 @@
 
 void claim_client::finish(const std::string& submission_id)
 {
+    if (finishes_.empty())
+    {
+        finishes_at_ = context_.now() + finish_delay;
+    }
     finishes_.push_back(submission_id);
 }
 
@@ -51,7 +55,9 @@
     {
         send_claims();
     }
-    if (sent_finishes_.empty() && !finishes_.empty())
+    const auto now = context_.now();
+    const bool is_due = finishes_at_ <= now || finishes_.size() >= max_batch;
+    if (sent_finishes_.empty() && !finishes_.empty() && is_due)
     {
         send_finishes();
     }
--- a/savoryreach/entry/claim_client.hpp
+++ b/savoryreach/entry/claim_client.hpp
@@ -3,6 +3,8 @@
 
 #include "savoryreach/entry/keeper_client.hpp"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -38,6 +40,9 @@
 
     /// Keeps one log entry of claims below 1 MB at the longest submission ids.
     static constexpr std::size_t max_batch = 4096;
+    /// Nobody waits for a finish: collecting them for a while spares log entries and messages. Far
+    /// below the retention of answers, 1 s at least.
+    static constexpr absl::Duration finish_delay = absl::Milliseconds(500);
 
 private:
     void send_claims();
@@ -45,15 +50,16 @@
     void claims_answered(const schema::keeper_reply& reply);
     void finishes_answered();
 
-    entry_context& context_;                 ///< events
-    keeper_client& keepers_;                 ///< carries the batches
-    claim_handler on_claim_;                 ///< told each result
-    finish_handler on_finish_;               ///< told each acknowledged finish
-    std::uint64_t epoch_ = 0;                ///< owner of the claims; 0 sends nothing
-    std::deque<schema::claim> claims_;       ///< waiting for the next batch
-    std::deque<std::string> finishes_;       ///< waiting for the next batch
-    std::vector<schema::claim> sent_claims_; ///< the batch in flight
-    std::vector<std::string> sent_finishes_; ///< the batch in flight
+    entry_context& context_;                        ///< events
+    keeper_client& keepers_;                        ///< carries the batches
+    claim_handler on_claim_;                        ///< told each result
+    finish_handler on_finish_;                      ///< told each acknowledged finish
+    std::uint64_t epoch_ = 0;                       ///< owner of the claims; 0 sends nothing
+    std::deque<schema::claim> claims_;              ///< waiting for the next batch
+    std::deque<std::string> finishes_;              ///< waiting for the next batch
+    absl::Time finishes_at_ = absl::InfinitePast(); ///< when they are sent
+    std::vector<schema::claim> sent_claims_;        ///< the batch in flight
+    std::vector<std::string> sent_finishes_;        ///< the batch in flight
 };
 
 } // namespace savoryreach::entry
