--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -254,6 +254,15 @@
     dirty_.insert(link.life);
 }
 
+void agent_table::push_later(agent_link& link, schema::session_item item)
+{
+    if (link.session.unacknowledged() == 0)
+    {
+        link.acknowledged_at = context_.now();
+    }
+    link.session.push_by(std::move(item), context_.now() + unhurried);
+}
+
 void agent_table::report_demand(agent_link& link, absl::Time now)
 {
     if (link.phase != link_phase::live || link.demand_at + demand_interval > now)
@@ -271,7 +280,7 @@
         item.mutable_demand()->set_waiting(demand);
         link.reported_demand = demand;
         link.demand_at = now;
-        push(link, std::move(item));
+        is_needed ? push(link, std::move(item)) : push_later(link, std::move(item));
     }
 }
 
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -45,6 +45,8 @@
     void flush();
 
     void push(agent_link& link, schema::session_item item);
+    /// Queues an item that the agent can wait for; it rides with another frame.
+    void push_later(agent_link& link, schema::session_item item);
     /// Tells the placement how many starts \p link may still be sent.
     void update_credit(agent_link& link);
 
@@ -84,6 +86,8 @@
     /// Sessions without new items are polled for resends at this interval.
     static constexpr absl::Duration poll_interval = absl::Milliseconds(5);
     static constexpr absl::Duration demand_interval = absl::Milliseconds(20);
+    /// Releases and reports that demand is over leave within this time.
+    static constexpr absl::Duration unhurried = absl::Milliseconds(200);
     /// Members are repeated in every so many replies, in case the last ones were lost.
     static constexpr std::uint32_t members_every = 8;
 
--- a/savoryreach/entry/dispatcher.cpp
+++ b/savoryreach/entry/dispatcher.cpp
@@ -212,7 +212,7 @@
         {
             schema::session_item item;
             item.mutable_release()->set_submission_id(it.id());
-            of_.agents.push(*link, std::move(item));
+            of_.agents.push_later(*link, std::move(item));
         }
     }
 }
--- a/savoryreach/net/session.cpp
+++ b/savoryreach/net/session.cpp
@@ -30,8 +30,14 @@
 }
 
 void session::push(schema::session_item item)
+{
+    push_by(std::move(item), absl::InfinitePast());
+}
+
+void session::push_by(schema::session_item item, absl::Time send_by)
 {
     queue_.push_back(std::move(item));
+    send_by_ = std::min(send_by_, send_by);
 }
 
 void session::acknowledge(std::uint64_t acknowledged, absl::Time now)
@@ -111,10 +117,13 @@
 {
     assert(queue_begin_ <= next_unsent_);
     const auto end = queue_begin_ + queue_.size();
-    if (next_unsent_ < end)
+    const bool is_acknowledgement_due = now >= acknowledge_at_;
+    if (next_unsent_ < end && (now >= send_by_ || is_acknowledgement_due))
     {
         auto frame = make_frame(next_unsent_, end);
         next_unsent_ += static_cast<std::uint64_t>(frame.items_size());
+        // The rest of a backlog follows at once.
+        send_by_ = next_unsent_ < end ? absl::InfinitePast() : absl::InfiniteFuture();
         resend_at_ = std::min(resend_at_, now + resend_delay(resends_));
         return frame;
     }
@@ -124,7 +133,7 @@
         resend_at_ = now + resend_delay(resends_);
         return make_frame(queue_begin_, next_unsent_);
     }
-    if (now >= acknowledge_at_)
+    if (is_acknowledgement_due)
     {
         return make_frame(next_unsent_, next_unsent_);
     }
--- a/savoryreach/net/session.hpp
+++ b/savoryreach/net/session.hpp
@@ -25,6 +25,9 @@
 
     /// Queues one item for the other end.
     void push(schema::session_item item);
+    /// Queues an item that nobody waits for: it goes with the next frame, at \p send_by at the
+    /// latest.
+    void push_by(schema::session_item item, absl::Time send_by);
 
     /// Takes a frame from the other end and returns the items that are now deliverable in order.
     /// A frame of another epoch or incarnation is ignored.
@@ -59,6 +62,7 @@
     std::uint64_t next_unsent_ = 1;          ///< first sequence number that was never sent
     std::uint64_t next_expected_ = 1;        ///< next sequence number to deliver
     absl::btree_map<std::uint64_t, schema::session_item> early_; ///< received out of order
+    absl::Time send_by_ = absl::InfiniteFuture();   ///< deadline of the items never sent
     absl::Time resend_at_ = absl::InfiniteFuture(); ///< deadline of the oldest unacknowledged item
     absl::Time acknowledge_at_ = absl::InfiniteFuture(); ///< deadline of an owed acknowledgement
     std::uint32_t resends_ = 0;                          ///< consecutive resends, for the backoff
