Estimate a job's share from what the others have lately asked for

Cause: admission counted each kind and team with a waiting task as if it stayed active, 1/30 of the slots at 70 % load, and refused large jobs that would have ended in time.

--- a/savoryreach/entry/job_policy.cpp
+++ b/savoryreach/entry/job_policy.cpp
@@ -29,12 +29,14 @@
     {
         const auto& policy = declaration.kind_policy();
         of_.queue.queue().apply(policy);
+        demand_.set_kind_weight(policy.kind(), policy.weight());
         max_wait_[policy.kind()] = absl::Milliseconds(policy.max_wait_ms());
     }
     else if (declaration.has_team_quota())
     {
         const auto& quota = declaration.team_quota();
         of_.queue.queue().apply(quota);
+        demand_.set_team_weight(quota.team(), quota.weight());
         max_slots_[quota.team()] = quota.max_slots();
         of_.queue.queue().set_team_slot_limit(quota.team(), team_limit(quota.max_slots()));
     }
@@ -83,7 +85,13 @@
     load.usable_slots = of_.endpoints.usable_slots(kind);
     load.live_entries =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, routes_.members().size()));
-    load.share = of_.queue.queue().share_of(kind, team);
+    // The first counts each share with waiting tasks as if it wanted all that is due to it; the
+    // second counts what the others have asked for lately.
+    load.share = std::max(of_.queue.queue().share_of(kind, team),
+                          demand_.share_of(kind, team,
+                                           static_cast<double>(load.usable_slots) /
+                                               static_cast<double>(load.live_entries),
+                                           of_.context.now()));
     load.waiting_ahead = of_.queue.waiting(kind, team);
     load.expected_run = of_.endpoints.expected_run(kind, absl::Milliseconds(declared));
     load.can_ever_run = of_.endpoints.can_ever_run(kind) || of_.agents.accepts(kind);
@@ -102,6 +110,9 @@
                             random);
     }
     const auto load = load_for(submission);
+    demand_.add(submission.kind(), submission.team(),
+                load.expected_run * static_cast<double>(submission.tasks_size()),
+                of_.context.now());
     if (!load.can_ever_run && of_.agents.live_agents() == 0)
     {
         // Agents announce themselves every 500 ms; without any, nothing is known about the kind.
--- a/savoryreach/entry/job_policy.hpp
+++ b/savoryreach/entry/job_policy.hpp
@@ -3,6 +3,7 @@
 
 #include "savoryreach/entry/admission.hpp"
 #include "savoryreach/entry/dispatcher.hpp"
+#include "savoryreach/entry/recent_demand.hpp"
 #include "savoryreach/entry/router.hpp"
 
 #include <absl/container/btree_map.h>
@@ -37,6 +38,7 @@
     [[nodiscard]] std::uint32_t team_limit(std::uint32_t max_slots) const;
 
     dispatcher::parts of_;                                  ///< shared classes of the core
+    recent_demand demand_;                                  ///< of kinds and teams
     const router& routes_;                                  ///< number of live entries
     absl::Duration answer_retention_ = absl::Seconds(30);   ///< time that an answer is kept
     absl::btree_map<std::string, std::uint32_t> max_slots_; ///< by team, over all entries
--- /dev/null
+++ b/savoryreach/entry/recent_demand.cpp
@@ -0,0 +1,101 @@
+#include "savoryreach/entry/recent_demand.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace savoryreach::entry
+{
+namespace
+{
+
+double weight_in(const absl::flat_hash_map<std::string, double>& weights, const std::string& name)
+{
+    const auto it = weights.find(name);
+    return it != weights.end() ? it->second : 1;
+}
+
+} // namespace
+
+void recent_demand::meter::add(double slot_seconds, absl::Time now)
+{
+    slots = read(now) + slot_seconds / absl::ToDoubleSeconds(memory);
+    at = now;
+}
+
+double recent_demand::meter::read(absl::Time now) const
+{
+    return slots > 0 ? slots * std::exp(-absl::FDivDuration(now - at, memory)) : 0;
+}
+
+void recent_demand::set_kind_weight(const std::string& kind, double weight)
+{
+    kind_weights_[kind] = std::max(1.0, weight);
+}
+
+void recent_demand::set_team_weight(const std::string& team, double weight)
+{
+    team_weights_[team] = std::max(1.0, weight);
+}
+
+void recent_demand::add(const std::string& kind, const std::string& team, absl::Duration work,
+                        absl::Time now)
+{
+    const double seconds = absl::ToDoubleSeconds(work);
+    auto& it = kinds_[kind];
+    it.total.add(seconds, now);
+    it.teams[team].add(seconds, now);
+}
+
+double recent_demand::fill(std::vector<competitor> others, double weight, double available)
+{
+    std::ranges::sort(others, {}, [](const competitor& it) { return it.demand / it.weight; });
+    double weights = weight;
+    for (const auto& it : others)
+    {
+        weights += it.weight;
+    }
+    for (const auto& it : others)
+    {
+        if (it.demand / it.weight >= available / weights)
+        {
+            break;
+        }
+        available -= it.demand;
+        weights -= it.weight;
+    }
+    return available * weight / weights;
+}
+
+double recent_demand::share_of(const std::string& kind, const std::string& team, double slots,
+                               absl::Time now) const
+{
+    if (slots <= 0)
+    {
+        return 1;
+    }
+    std::vector<competitor> others;
+    for (const auto& [name, it] : kinds_)
+    {
+        if (name != kind)
+        {
+            others.push_back({it.total.read(now) / slots, weight_in(kind_weights_, name)});
+        }
+    }
+    const double of_kind = fill(std::exchange(others, {}), weight_in(kind_weights_, kind), 1);
+    const auto found = kinds_.find(kind);
+    if (found == kinds_.end())
+    {
+        return of_kind;
+    }
+    for (const auto& [name, it] : found->second.teams)
+    {
+        if (name != team)
+        {
+            others.push_back({it.read(now) / slots, weight_in(team_weights_, name)});
+        }
+    }
+    return fill(std::move(others), weight_in(team_weights_, team), of_kind);
+}
+
+} // namespace savoryreach::entry
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -22,6 +22,7 @@
   entry/job_waiters.cpp
   entry/keeper_client.cpp
   entry/membership.cpp
+  entry/recent_demand.cpp
   entry/recovery.cpp
   entry/router.cpp
   entry/takeover.cpp
