--- a/savoryreach/entry/dispatcher.cpp
+++ b/savoryreach/entry/dispatcher.cpp
@@ -19,7 +19,10 @@
 
 } // namespace
 
-dispatcher::dispatcher(const parts& of) : of_(of) {}
+dispatcher::dispatcher(const parts& of, late_handler refuse_if_late)
+    : refuse_if_late_(std::move(refuse_if_late)), of_(of)
+{
+}
 
 void dispatcher::tick()
 {
@@ -55,6 +58,10 @@
         }
         auto* it = of_.jobs.find(*number);
         assert(it != nullptr && it->is_running());
+        if (it->touched.empty() && it->dead_epochs.empty() && is_late(*it))
+        {
+            continue;
+        }
         if (!start_one(*it))
         {
             skipped.push_back(it);
@@ -66,6 +73,20 @@
     }
 }
 
+bool dispatcher::is_late(job& it)
+{
+    const auto kind = it.submission.kind();
+    const auto team = it.submission.team();
+    const auto charged = of_.endpoints.expected_run(kind, absl::ZeroDuration());
+    if (!refuse_if_late_(it))
+    {
+        return false;
+    }
+    // The queue gave out a start that does not take place.
+    of_.queue.queue().settle(kind, team, charged, absl::ZeroDuration());
+    return true;
+}
+
 bool dispatcher::start_one(job& it)
 {
     auto& index = it.next_waiting;
--- a/savoryreach/entry/dispatcher.hpp
+++ b/savoryreach/entry/dispatcher.hpp
@@ -28,7 +28,11 @@
         retry_budget& retries;
     };
 
-    explicit dispatcher(const parts& of);
+    /// Refuses a job of which nothing was sent when it can't end in time any more, and tells so;
+    /// the job is gone then.
+    using late_handler = std::function<bool(job&)>;
+
+    dispatcher(const parts& of, late_handler refuse_if_late);
 
     /// Sends as many tasks as credit and the lease allow, and recalls behind stragglers.
     void tick();
@@ -43,6 +47,7 @@
 
 private:
     void dispatch();
+    bool is_late(job& it);
     bool start_one(job& it);
     void send_start(job& it, std::uint32_t index, agent_link& link);
     void recall_stragglers();
@@ -55,6 +60,7 @@
     /// An attempt is behind a straggler after this many expected run times.
     static constexpr double recall_after_runs = 2.0;
 
+    late_handler refuse_if_late_;
     parts of_;                                    ///< shared with the other classes of the core
     absl::Time recall_at_ = absl::InfinitePast(); ///< next look for stragglers
 };
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -27,7 +27,8 @@
           [this](const std::string& id, const schema::claim_result& result)
           { flow.claim_answered(id, result); },
           [this](const std::string& id) { flow.finish_acknowledged(id); }),
-      starts(shared()), results(shared(), result_hooks()),
+      starts(shared(), [this](job& it) { return flow.refuse_if_late(it); }),
+      results(shared(), result_hooks()),
       takeovers(context, members, keepers, jobs, results, recovery_hooks()),
       policy(shared(), routes),
       flow({shared(), routes, claims, starts, takeovers, policy}, flow_hooks()),
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -296,6 +296,16 @@
     drop(it);
 }
 
+bool job_flow::refuse_if_late(job& it)
+{
+    const auto why = of_.policy.check_start(it);
+    if (why)
+    {
+        refuse_job(it, why->why, why->retry_after);
+    }
+    return why.has_value();
+}
+
 void job_flow::drop(job& it)
 {
     of_.shared.queue.remove(it);
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -58,6 +58,8 @@
     void progressed(job& it);
     /// The job can't complete.
     void fail(job& it, const base::reason& why);
+    /// Refuses a job of which nothing was sent when it can't end in time; the job is gone then.
+    bool refuse_if_late(job& it);
     /// The tasks of a taken-over job are resolved.
     void resume(job& it);
 
--- a/savoryreach/entry/job_policy.cpp
+++ b/savoryreach/entry/job_policy.cpp
@@ -126,4 +126,19 @@
     return check_admission(request, load, random);
 }
 
+std::optional<refusal> job_policy::check_start(const job& it) const
+{
+    auto load = load_for(it.submission);
+    // Nothing of its share is ahead of it, and the other bounds held when it was taken.
+    load.waiting_ahead = 0;
+    load.waiting_tasks = 0;
+    load.jobs = 0;
+    load.team_slots_in_use = 0;
+    load.can_ever_run = true;
+    admission_request request;
+    request.tasks = static_cast<std::uint32_t>(it.tasks.size());
+    request.time_budget = it.answer_by - of_.context.now();
+    return check_admission(request, load, of_.context.ports.random);
+}
+
 } // namespace savoryreach::entry
--- a/savoryreach/entry/job_policy.hpp
+++ b/savoryreach/entry/job_policy.hpp
@@ -28,6 +28,8 @@
     void view_changed();
 
     [[nodiscard]] std::optional<refusal> check(const schema::submission& submission);
+    /// Whether a job whose turn has come can still end in time at the share that it gets.
+    [[nodiscard]] std::optional<refusal> check_start(const job& it) const;
     [[nodiscard]] absl::Duration answer_retention() const { return answer_retention_; }
 
     /// Bound on the bytes of submissions and answers in the job table.
