--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -236,6 +236,11 @@
 void agent_table::tick()
 {
     const auto now = context_.now();
+    if (now < check_at_)
+    {
+        return;
+    }
+    check_at_ = now + check_interval;
     for (auto& [life, link] : links_)
     {
         check(*link, now);
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -83,6 +83,9 @@
 
     /// Sessions without new items are polled for resends at this interval.
     static constexpr absl::Duration poll_interval = absl::Milliseconds(5);
+    /// Agents are checked for silence at this interval, far below the suspicion time: a visit of
+    /// thousands of agents after each message would cost more than the messages.
+    static constexpr absl::Duration check_interval = absl::Milliseconds(50);
     static constexpr absl::Duration demand_interval = absl::Milliseconds(20);
     /// Members are repeated in every so many replies, in case the last ones were lost.
     static constexpr std::uint32_t members_every = 8;
@@ -93,8 +96,9 @@
     hooks call_;             ///< receives items and losses
     absl::btree_map<agent_life, std::unique_ptr<agent_link>> links_; ///< all incarnations
     absl::btree_map<base::node_name, agent_link*> current_;          ///< newest incarnations
-    absl::btree_set<agent_life> dirty_;         ///< sessions with new items or owed replies
-    absl::Time poll_at_ = absl::InfinitePast(); ///< next poll of all sessions
+    absl::btree_set<agent_life> dirty_;          ///< sessions with new items or owed replies
+    absl::Time poll_at_ = absl::InfinitePast();  ///< next poll of all sessions
+    absl::Time check_at_ = absl::InfinitePast(); ///< next check for silent agents
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -312,7 +312,7 @@
 
 void entry_core::state::tick()
 {
-    members.tick(agents.progress());
+    members.tick([this] { return agents.progress(); });
     keepers.tick();
     agents.tick();
     takeovers.tick();
