Send members only to agents that lack them

Each entry repeated the whole membership to every agent every 4 s, so an idle agent received bytes with the square of the number of entries. The new test fails for an entry that always or never sends members.

--- a/savoryreach/agent/agent_core.cpp
+++ b/savoryreach/agent/agent_core.cpp
@@ -342,6 +342,7 @@
     hello.set_request_id(++last_request_id);
     hello.set_draining(is_draining);
     hello.set_config_revision(views.config_revision());
+    hello.set_membership_revision(views.membership_revision());
     *hello.mutable_kinds() = settings.kinds();
     runner.counters().write(hello);
     session.hello_sent(last_request_id, ports.clock.now());
--- a/savoryreach/agent/view_store.hpp
+++ b/savoryreach/agent/view_store.hpp
@@ -27,6 +27,8 @@
     [[nodiscard]] const std::vector<schema::entry_member>& entries() const { return entries_; }
     [[nodiscard]] bool has_entry(const std::string& name) const;
     [[nodiscard]] std::uint64_t config_revision() const { return config_revision_; }
+    /// Of entries().
+    [[nodiscard]] std::uint64_t membership_revision() const { return membership_revision_; }
 
 private:
     void apply_config(const schema::cluster_view& view);
--- a/savoryreach/entry/agent_link.hpp
+++ b/savoryreach/entry/agent_link.hpp
@@ -64,8 +64,6 @@
     absl::Time acknowledged_at;                  ///< when the session last had nothing overdue
     absl::Time lease_until;                      ///< latest end of any session lease granted
     std::uint64_t config_revision = 0;           ///< as last announced
-    std::uint64_t members_sent = 0;              ///< membership revision in the last reply
-    std::uint32_t replies = 0;                   ///< since members were last sent
     std::uint32_t reported_demand = 0;           ///< as the agent knows it
     absl::Time demand_at = absl::InfinitePast(); ///< when it was reported
     absl::btree_map<task_key, std::uint32_t> in_flight; ///< attempt numbers
--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -141,13 +141,8 @@
         body.set_lease_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(lease)));
         link.lease_until = std::max(link.lease_until, now + lease);
     }
-    const bool with_members =
-        link.members_sent != members_.membership_revision() || ++link.replies >= members_every;
-    if (with_members)
-    {
-        link.members_sent = members_.membership_revision();
-        link.replies = 0;
-    }
+    // Repeating the members to every agent would cost it bytes with the square of their number.
+    const bool with_members = message.membership_revision() < members_.membership_revision();
     *body.mutable_view() = members_.view_for(link.config_revision, with_members);
     link.reported_demand = call_.demand(link.facts.kinds);
     body.set_demand(link.reported_demand);
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -87,8 +87,6 @@
     /// thousands of agents after each message would cost more than the messages.
     static constexpr absl::Duration check_interval = absl::Milliseconds(50);
     static constexpr absl::Duration demand_interval = absl::Milliseconds(20);
-    /// Members are repeated in every so many replies, in case the last ones were lost.
-    static constexpr std::uint32_t members_every = 8;
 
     entry_context& context_; ///< ports
     membership& members_;    ///< lease, epoch and view
--- a/tests/entry/entry_agent_test.cpp
+++ b/tests/entry/entry_agent_test.cpp
@@ -55,6 +55,41 @@
     EXPECT_EQ(entry.answers[request].tasks_started(), 1);
 }
 
+// Guards against members that an agent never learns because one reply was lost, and against members
+// in every reply: with 8 entries they would be most of an idle agent's bytes.
+TEST_F(entry_agent_test, members_are_sent_to_an_agent_that_lacks_them_and_to_no_other)
+{
+    start_one();
+    const base::node_name agent("a9");
+    std::vector<schema::cluster_view> views;
+    network.attach(agent,
+                   [&](const base::node_name&, const schema::envelope& it)
+                   {
+                       if (it.has_agent_hello_reply())
+                       {
+                           views.push_back(it.agent_hello_reply().view());
+                       }
+                   });
+    const auto transport = network.transport_of(agent);
+    std::uint64_t known = 0;
+    for (int n = 0; n < 20; ++n)
+    {
+        schema::envelope message;
+        message.mutable_agent_hello()->set_agent(agent.value());
+        message.mutable_agent_hello()->set_incarnation(1);
+        message.mutable_agent_hello()->set_membership_revision(known);
+        transport->send(base::node_name("e1"), message);
+        run(absl::Milliseconds(100));
+        // The agent learns the members from the third reply only.
+        known = n >= 2 ? views.back().membership_revision() + known : 0;
+    }
+    ASSERT_EQ(views.size(), 20);
+    for (std::size_t n = 0; n < views.size(); ++n)
+    {
+        EXPECT_EQ(views[n].entries_size(), n <= 2 ? 1 : 0) << "reply " << n;
+    }
+}
+
 // Guards against starts that are queued for a lost agent and begin when it comes back, while their
 // tasks run elsewhere.
 TEST_F(entry_agent_test, agent_that_comes_back_gets_no_lease_before_it_took_the_old_starts)
