Make a tick of the entry core independent of the number of agents

Cause: each tick passed over all links for deadlines, session polls, demand reports and configuration progress, and every 20 ms over all tasks in flight. Each release of an ended job was a message of its own.

Links now have one timer each for session deadlines, suspicion and loss, and one for recalls; sessions with new items are in a list; demand is reported by looking only at links that may need a report; the progress is computed for a renewal only. Counts replace the loops over agents in admission. Releases wait up to 200 ms for the next frame. Submissions are moved into the job table.

--- a/savoryreach/entry/agent_link.hpp
+++ b/savoryreach/entry/agent_link.hpp
@@ -27,8 +27,8 @@
 class agent_link
 {
 public:
-    agent_link(agent_life of, std::uint64_t epoch)
-        : life(std::move(of)), session(epoch, life.incarnation)
+    agent_link(agent_life of, std::uint64_t epoch, std::uint64_t its_number)
+        : life(std::move(of)), number(its_number), session(epoch, life.incarnation)
     {
     }
 
@@ -52,22 +52,29 @@
     /// Tasks at the agent, with the number of the attempt.
     using task_key = std::pair<job_number, std::uint32_t>;
 
-    const agent_life life; ///< of the agent
-    net::session session;  ///< lives as long as the incarnation may come back
-    endpoint_facts facts;  ///< as last announced
+    const agent_life life;      ///< of the agent
+    const std::uint64_t number; ///< in the order in which the incarnations announced themselves
+    net::session session;       ///< lives as long as the incarnation may come back
+    endpoint_facts facts;       ///< as last announced
     link_phase phase = link_phase::live;
-    bool is_draining = false;                    ///< announced by the agent
-    bool is_superseded = false;                  ///< a newer incarnation has announced itself
-    std::uint64_t credit_limit = 0;              ///< starts allowed since the session began
-    std::uint64_t sent = 0;                      ///< starts sent since the session began
-    absl::Time heard_at;                         ///< of the last message
-    absl::Time acknowledged_at;                  ///< when the session last had nothing overdue
-    absl::Time lease_until;                      ///< latest end of any session lease granted
-    std::uint64_t config_revision = 0;           ///< as last announced
-    std::uint64_t members_sent = 0;              ///< membership revision in the last reply
-    std::uint32_t replies = 0;                   ///< since members were last sent
-    std::uint32_t reported_demand = 0;           ///< as the agent knows it
-    absl::Time demand_at = absl::InfinitePast(); ///< when it was reported
+    bool is_draining = false;                      ///< announced by the agent
+    bool is_superseded = false;                    ///< a newer incarnation has announced itself
+    std::uint64_t credit_limit = 0;                ///< starts allowed since the session began
+    std::uint64_t sent = 0;                        ///< starts sent since the session began
+    absl::Time heard_at;                           ///< of the last message
+    absl::Time acknowledged_at;                    ///< when the session last had nothing overdue
+    absl::Time lease_until;                        ///< latest end of any session lease granted
+    std::uint64_t config_revision = 0;             ///< as last announced
+    std::uint64_t members_sent = 0;                ///< membership revision in the last reply
+    std::uint32_t replies = 0;                     ///< since members were last sent
+    std::uint32_t reported_demand = 0;             ///< as the agent knows it
+    absl::Time demand_at = absl::InfinitePast();   ///< when it was reported
+    bool is_dirty = false;                         ///< has something to send
+    absl::Time wake_at = absl::InfiniteFuture();   ///< timer of the table
+    absl::Time recall_at = absl::InfiniteFuture(); ///< timer of the dispatcher
+    std::uint32_t watched_demand = 0;              ///< as demand_watch has sorted it in
+    bool watched_as_starved = false;               ///< as demand_watch has sorted it in
+    bool watched_as_told = false;                  ///< as demand_watch has sorted it in
     absl::btree_map<task_key, std::uint32_t> in_flight; ///< attempt numbers
 };
 
--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -21,9 +21,58 @@
     {
         endpoints_.endpoint_left(name);
     }
+    dirty_.clear();
+    wake_ups_.clear();
+    recalls_.clear();
+    demand_.clear();
     current_.clear();
     links_.clear();
-    dirty_.clear();
+    live_ = 0;
+    accept_all_ = 0;
+    accepting_.clear();
+}
+
+void agent_table::erase(agent_link& link)
+{
+    std::erase(dirty_, &link);
+    wake_ups_.remove(link);
+    recalls_.remove(link);
+    demand_.remove(link);
+    links_.erase(agent_life(link.life));
+}
+
+void agent_table::set_timer(agent_link& link)
+{
+    wake_ups_.set(link, link.session.deadline());
+    if (link.phase == link_phase::live)
+    {
+        wake_ups_.set(link, link.heard_at + suspicion);
+    }
+    else if (link.phase == link_phase::suspected)
+    {
+        wake_ups_.set(link, std::max(link.lease_until, link.heard_at) + stop_time);
+    }
+}
+
+void agent_table::mark(agent_link& link)
+{
+    if (!std::exchange(link.is_dirty, true))
+    {
+        dirty_.push_back(&link);
+    }
+}
+
+void agent_table::count_kinds(const agent_link& link, int change)
+{
+    const auto& kinds = link.facts.kinds;
+    if (kinds.empty())
+    {
+        accept_all_ += static_cast<std::size_t>(change);
+    }
+    for (const auto& kind : kinds)
+    {
+        accepting_[kind] += static_cast<std::size_t>(change);
+    }
 }
 
 agent_link* agent_table::find(const base::node_name& agent)
@@ -55,9 +104,12 @@
     {
         supersede(*known);
     }
-    auto link =
-        std::make_unique<agent_link>(agent_life{from, message.incarnation()}, members_.epoch());
+    auto link = std::make_unique<agent_link>(agent_life{from, message.incarnation()},
+                                             members_.epoch(), ++last_number_);
+    link->heard_at = context_.now();
     current_[from] = link.get();
+    ++live_;
+    count_kinds(*link, 1);
     links_[link->life] = std::move(link);
     context_.ports.events.record(
         "agent_joined",
@@ -68,10 +120,13 @@
 void agent_table::supersede(agent_link& link)
 {
     link.is_superseded = true;
+    live_ -= link.phase == link_phase::live ? 1 : 0;
+    count_kinds(link, -1);
     endpoints_.endpoint_left(link.life.name);
+    demand_.update(link);
     if (link.phase == link_phase::lost)
     {
-        links_.erase(agent_life(link.life));
+        erase(link);
     }
 }
 
@@ -94,8 +149,9 @@
     {
         set_phase(link, link_phase::live);
     }
-    update_credit(link);
     reply(link, message);
+    update_credit(link);
+    set_timer(link);
 }
 
 void agent_table::learn(agent_link& link, const schema::agent_hello& message)
@@ -109,7 +165,10 @@
                          facts.data_centre == link.facts.data_centre;
     if (!is_same || link.facts.agent.empty())
     {
+        demand_.remove(link);
+        count_kinds(link, -1);
         link.facts = std::move(facts);
+        count_kinds(link, 1);
         if (link.phase != link_phase::lost)
         {
             endpoints_.endpoint_joined(link.facts);
@@ -162,9 +221,10 @@
     {
         return;
     }
-    dirty_.insert(link->life);
     link->acknowledged_at = context_.now();
-    for (const auto& item : link->session.receive(frame, context_.now()))
+    const auto items = link->session.receive(frame, context_.now());
+    wake_ups_.set(*link, link->session.deadline());
+    for (const auto& item : items)
     {
         if (item.has_credit())
         {
@@ -184,6 +244,13 @@
     {
         endpoints_.set_credit(link.life.name, link.credit());
     }
+    demand_.update(link);
+}
+
+void agent_table::count_start(agent_link& link)
+{
+    ++link.sent;
+    demand_.update(link);
 }
 
 void agent_table::attempt_ended(const agent_link& link, const job& it, attempt_result how,
@@ -201,11 +268,14 @@
 void agent_table::set_phase(agent_link& link, link_phase phase)
 {
     const bool was_lost = link.phase == link_phase::lost;
+    const bool was_live = link.phase == link_phase::live;
     link.phase = phase;
     if (link.is_superseded)
     {
         return;
     }
+    live_ += phase == link_phase::live ? 1 : 0;
+    live_ -= was_live ? 1 : 0;
     if (phase == link_phase::lost)
     {
         endpoints_.endpoint_left(link.life.name);
@@ -236,22 +306,50 @@
 void agent_table::tick()
 {
     const auto now = context_.now();
-    for (auto& [life, link] : links_)
+    for (auto* link : wake_ups_.take_due(now))
     {
         check(*link, now);
+        if (link->is_superseded && link->phase == link_phase::lost)
+        {
+            erase(*link);
+            continue;
+        }
+        set_timer(*link);
+        mark(*link);
     }
-    absl::erase_if(links_, [](const auto& it)
-                   { return it.second->is_superseded && it.second->phase == link_phase::lost; });
 }
 
 void agent_table::push(agent_link& link, schema::session_item item)
 {
+    push_later(link, std::move(item));
+    mark(link);
+}
+
+void agent_table::push_later(agent_link& link, schema::session_item item)
+{
+    const auto now = context_.now();
     if (link.session.unacknowledged() == 0)
     {
-        link.acknowledged_at = context_.now();
+        link.acknowledged_at = now;
     }
     link.session.push(std::move(item));
-    dirty_.insert(link.life);
+    if (!link.is_dirty)
+    {
+        wake_ups_.set(link, now + release_delay);
+    }
+}
+
+void agent_table::report_demand(absl::Time now)
+{
+    if (now < demand_at_)
+    {
+        return;
+    }
+    demand_at_ = now + watch_interval;
+    for (auto* link : demand_.candidates(call_.demand({})))
+    {
+        report_demand(*link, now);
+    }
 }
 
 void agent_table::report_demand(agent_link& link, absl::Time now)
@@ -263,7 +361,7 @@
     const auto demand = call_.demand(link.facts.kinds);
     const auto known = link.reported_demand;
     // A report costs a message: an agent whose credit is not used up needs none.
-    const bool is_needed = demand > 0 && link.credit() == 0 && (known == 0 || demand >= 2 * known);
+    const bool is_needed = link.credit() == 0 && demand_watch::is_far_above(demand, known);
     const bool is_over = demand == 0 && known > 0;
     if (is_needed || is_over)
     {
@@ -271,6 +369,7 @@
         item.mutable_demand()->set_waiting(demand);
         link.reported_demand = demand;
         link.demand_at = now;
+        demand_.update(link);
         push(link, std::move(item));
     }
 }
@@ -288,40 +387,19 @@
 void agent_table::flush()
 {
     const auto now = context_.now();
-    if (now >= poll_at_)
+    report_demand(now);
+    for (auto* link : std::exchange(dirty_, {}))
     {
-        poll_at_ = now + poll_interval;
-        for (auto& [life, link] : links_)
-        {
-            report_demand(*link, now);
-            send_frames(*link, now);
-        }
-        dirty_.clear();
-        return;
-    }
-    for (const auto& it : std::exchange(dirty_, {}))
-    {
-        if (auto* link = find(it))
-        {
-            send_frames(*link, now);
-        }
+        link->is_dirty = false;
+        send_frames(*link, now);
+        wake_ups_.set(*link, link->session.deadline());
     }
 }
 
 bool agent_table::accepts(const std::string& kind) const
 {
-    const auto is_accepted = [&kind](const auto& it)
-    {
-        const auto& kinds = it.second->facts.kinds;
-        return kinds.empty() || std::ranges::find(kinds, kind) != kinds.end();
-    };
-    return std::ranges::any_of(current_, is_accepted);
-}
-
-std::size_t agent_table::live_agents() const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        current_, [](const auto& it) { return it.second->phase == link_phase::live; }));
+    const auto it = accepting_.find(kind);
+    return accept_all_ > 0 || (it != accepting_.end() && it->second > 0);
 }
 
 membership::agent_progress agent_table::progress() const
@@ -338,14 +416,6 @@
     return progress;
 }
 
-void agent_table::for_each(const std::function<void(agent_link&)>& visit)
-{
-    for (auto& [life, link] : links_)
-    {
-        visit(*link);
-    }
-}
-
 void agent_table::for_each(const std::function<void(const agent_link&)>& visit) const
 {
     for (const auto& [life, link] : links_)
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -2,23 +2,27 @@
 #define SAVORYREACH_ENTRY_AGENT_TABLE_HPP
 
 #include "savoryreach/entry/agent_link.hpp"
+#include "savoryreach/entry/demand_watch.hpp"
 #include "savoryreach/entry/entry_context.hpp"
+#include "savoryreach/entry/link_timers.hpp"
 #include "savoryreach/entry/membership.hpp"
 #include "savoryreach/entry/placement.hpp"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace savoryreach::entry
 {
 
 /// The agents that have announced themselves: grants session leases, carries the sessions, and
-/// notices by deadlines when an agent is suspected or lost. Not thread-safe.
+/// notices by deadlines when an agent is suspected or lost. A tick costs time only for the agents
+/// that have something to do. Not thread-safe.
 class agent_table
 {
 public:
@@ -45,6 +49,10 @@
     void flush();
 
     void push(agent_link& link, schema::session_item item);
+    /// Queues an item that may wait for the next frame to the agent, at most release_delay.
+    void push_later(agent_link& link, schema::session_item item);
+    /// Counts a start that is pushed to \p link.
+    void count_start(agent_link& link);
     /// Tells the placement how many starts \p link may still be sent.
     void update_credit(agent_link& link);
 
@@ -57,9 +65,10 @@
     [[nodiscard]] agent_link* find(const agent_life& life);
     /// True when some agent, reachable or not, accepts \p kind.
     [[nodiscard]] bool accepts(const std::string& kind) const;
-    [[nodiscard]] std::size_t live_agents() const;
+    [[nodiscard]] std::size_t live_agents() const { return live_; }
+    /// The dispatcher's timers for looking at the tasks of a link.
+    link_timers& recalls() { return recalls_; }
     [[nodiscard]] membership::agent_progress progress() const;
-    void for_each(const std::function<void(agent_link&)>& visit);
     void for_each(const std::function<void(const agent_link&)>& visit) const;
 
     static constexpr absl::Duration session_lease = absl::Seconds(2);
@@ -67,6 +76,9 @@
     static constexpr absl::Duration suspicion = absl::Milliseconds(1100);
     /// An agent stops what still runs this long after its session lease has expired.
     static constexpr absl::Duration stop_time = absl::Seconds(3);
+    /// An agent keeps its records of an ended job for this time longer; in return most releases
+    /// cost no message of their own.
+    static constexpr absl::Duration release_delay = absl::Milliseconds(200);
     /// Bound on the agents that are remembered, three times the design size.
     static constexpr std::size_t max_agents = 12'288;
 
@@ -74,15 +86,20 @@
     [[nodiscard]] bool accept_incarnation(const base::node_name& from,
                                           const schema::agent_hello& message);
     void supersede(agent_link& link);
+    void erase(agent_link& link);
+    void set_timer(agent_link& link);
+    void mark(agent_link& link);
+    void count_kinds(const agent_link& link, int change);
     void learn(agent_link& link, const schema::agent_hello& message);
     void reply(agent_link& link, const schema::agent_hello& message);
     void set_phase(agent_link& link, link_phase phase);
     void check(agent_link& link, absl::Time now);
+    void report_demand(absl::Time now);
     void report_demand(agent_link& link, absl::Time now);
     void send_frames(agent_link& link, absl::Time now);
 
-    /// Sessions without new items are polled for resends at this interval.
-    static constexpr absl::Duration poll_interval = absl::Milliseconds(5);
+    /// Interval between two looks at the demand, and between two reports to one agent.
+    static constexpr absl::Duration watch_interval = absl::Milliseconds(5);
     static constexpr absl::Duration demand_interval = absl::Milliseconds(20);
     /// Members are repeated in every so many replies, in case the last ones were lost.
     static constexpr std::uint32_t members_every = 8;
@@ -93,8 +110,15 @@
     hooks call_;             ///< receives items and losses
     absl::btree_map<agent_life, std::unique_ptr<agent_link>> links_; ///< all incarnations
     absl::btree_map<base::node_name, agent_link*> current_;          ///< newest incarnations
-    absl::btree_set<agent_life> dirty_;         ///< sessions with new items or owed replies
-    absl::Time poll_at_ = absl::InfinitePast(); ///< next poll of all sessions
+    std::vector<agent_link*> dirty_;              ///< links with something to send
+    link_timers wake_ups_{&agent_link::wake_at};  ///< session deadlines, suspicion and loss
+    link_timers recalls_{&agent_link::recall_at}; ///< of the dispatcher
+    demand_watch demand_;                         ///< agents that may need a report
+    absl::Time demand_at_ = absl::InfinitePast(); ///< next look at the demand
+    std::uint64_t last_number_ = 0;               ///< numbers of the links continue from here
+    std::size_t live_ = 0;                        ///< current links in phase live
+    std::size_t accept_all_ = 0;                  ///< current links that accept every kind
+    absl::flat_hash_map<std::string, std::size_t> accepting_; ///< other current links, by kind
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/dispatcher.cpp
+++ b/savoryreach/entry/dispatcher.cpp
@@ -28,11 +28,7 @@
         return;
     }
     dispatch();
-    if (of_.context.now() >= recall_at_)
-    {
-        recall_at_ = of_.context.now() + recall_interval;
-        recall_stragglers();
-    }
+    recall_stragglers();
 }
 
 void dispatcher::dispatch()
@@ -114,8 +110,9 @@
         ++of_.context.counters.retries;
     }
     ++of_.context.counters.starts;
-    ++link.sent;
+    of_.agents.count_start(link);
     link.in_flight[{it.number, index}] = task.attempt;
+    of_.agents.recalls().set(link, recall_time(task, it.submission.kind()));
 
     schema::session_item item;
     auto& start = *item.mutable_start();
@@ -135,42 +132,43 @@
                                                   {"peer", link.life.name.value()}});
 }
 
+absl::Time dispatcher::recall_time(const job_task& task, const std::string& kind) const
+{
+    return task.sent_at + recall_interval +
+           of_.endpoints.expected_run_at(task.agent.name, kind) * recall_after_runs;
+}
+
 void dispatcher::recall_stragglers()
 {
     const auto now = of_.context.now();
-    std::size_t with_credit = 0;
-    of_.agents.for_each([&](agent_link& it) { with_credit += it.credit() > 0 ? 1 : 0; });
-    of_.agents.for_each(
-        [&](agent_link& it)
+    for (auto* link : of_.agents.recalls().take_due(now))
+    {
+        if (link->phase != link_phase::lost)
         {
-            // A recalled task needs another endpoint that could take it.
-            if (with_credit > (it.credit() > 0 ? 1 : 0))
-            {
-                recall_from(it, now);
-            }
-        });
+            recall_from(*link, now);
+        }
+    }
 }
 
 void dispatcher::recall_from(agent_link& link, absl::Time now)
 {
-    if (link.phase == link_phase::lost)
-    {
-        return;
-    }
+    auto next = absl::InfiniteFuture();
     for (const auto& [key, attempt] : link.in_flight)
     {
         auto* it = of_.jobs.find(key.first);
-        if (it == nullptr || !it->is_running() || it->waiting > 0)
+        if (it == nullptr || !it->is_running() || it->tasks[key.second].is_recalled)
         {
             continue;
         }
         auto& task = it->tasks[key.second];
         const auto& kind = it->submission.kind();
-        const auto patience =
-            of_.endpoints.expected_run_at(link.life.name, kind) * recall_after_runs +
-            recall_interval;
-        if (task.is_recalled || task.sent_at + patience > now || !of_.endpoints.is_runnable(kind))
+        const auto due = recall_time(task, kind);
+        const bool is_due = due <= now;
+        // A recalled task needs another endpoint that could take it.
+        if (!is_due || it->waiting > 0 ||
+            !of_.endpoints.is_runnable_elsewhere(kind, link.life.name))
         {
+            next = std::min(next, is_due ? now + recall_interval : due);
             continue;
         }
         task.is_recalled = true;
@@ -181,6 +179,7 @@
         recall.set_attempt(attempt);
         of_.agents.push(link, std::move(item));
     }
+    of_.agents.recalls().set(link, next);
 }
 
 void dispatcher::cancel(job& it)
@@ -212,7 +211,7 @@
         {
             schema::session_item item;
             item.mutable_release()->set_submission_id(it.id());
-            of_.agents.push(*link, std::move(item));
+            of_.agents.push_later(*link, std::move(item));
         }
     }
 }
--- a/savoryreach/entry/dispatcher.hpp
+++ b/savoryreach/entry/dispatcher.hpp
@@ -47,6 +47,8 @@
     void send_start(job& it, std::uint32_t index, agent_link& link);
     void recall_stragglers();
     void recall_from(agent_link& link, absl::Time now);
+    /// When the attempt counts as behind a straggler.
+    [[nodiscard]] absl::Time recall_time(const job_task& task, const std::string& kind) const;
 
     /// Jobs near their end that wait for a fast endpoint don't stop the others; this bounds the
     /// work of one pass.
@@ -55,8 +57,7 @@
     /// An attempt is behind a straggler after this many expected run times.
     static constexpr double recall_after_runs = 2.0;
 
-    parts of_;                                    ///< shared with the other classes of the core
-    absl::Time recall_at_ = absl::InfinitePast(); ///< next look for stragglers
+    parts of_; ///< shared with the other classes of the core
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -178,15 +178,15 @@
             return;
         }
     }
-    handle_here(request, waiter);
+    handle_here(std::move(request), waiter);
 }
 
-void entry_core::state::handle_here(const caller_request& request, const job_waiter& waiter)
+void entry_core::state::handle_here(caller_request request, const job_waiter& waiter)
 {
     switch (request.kind)
     {
     case request_kind::submit:
-        flow.submit(request.submission, waiter);
+        flow.submit(std::move(request.submission), waiter);
         break;
     case request_kind::lookup:
         flow.lookup(request.submission.submission_id(), waiter);
@@ -312,7 +312,7 @@
 
 void entry_core::state::tick()
 {
-    members.tick(agents.progress());
+    members.tick([this] { return agents.progress(); });
     keepers.tick();
     agents.tick();
     takeovers.tick();
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -69,7 +69,7 @@
 
     void joined();
     void fenced();
-    void handle_here(const caller_request& request, const job_waiter& waiter);
+    void handle_here(caller_request request, const job_waiter& waiter);
     /// The other entry that is the home of the submission, or an empty name.
     [[nodiscard]] base::node_name other_home(const std::string& submission_id, std::uint32_t hops);
     /// True when the request may be handled here; otherwise it has been answered.
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -39,7 +39,7 @@
            jobs_.refusal_of(submission_id, context_.now()) != nullptr;
 }
 
-void job_flow::submit(const schema::submission& submission, const job_waiter& waiter)
+void job_flow::submit(schema::submission submission, const job_waiter& waiter)
 {
     ++context_.counters.submissions;
     const auto& id = submission.submission_id();
@@ -67,7 +67,7 @@
         refuse(submission, digest, waiter, *why);
         return;
     }
-    accept(submission, digest, waiter);
+    accept(std::move(submission), digest, waiter);
 }
 
 void job_flow::join(job& it, const schema::submission& submission, const std::string& digest,
@@ -126,10 +126,10 @@
     waiters_.answer(waiter, answer);
 }
 
-void job_flow::accept(const schema::submission& submission, const std::string& digest,
+void job_flow::accept(schema::submission submission, const std::string& digest,
                       const job_waiter& waiter)
 {
-    auto& it = jobs_.add(submission, digest, context_.now());
+    auto& it = jobs_.add(std::move(submission), digest, context_.now());
     it.is_verified = !needs_ledger(it.id());
     it.waiting = static_cast<std::uint32_t>(it.tasks.size());
     of_.shared.queue.reserve(it);
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -44,7 +44,7 @@
     job_flow(const parts& of, hooks call);
 
     /// A copy of a submission has arrived at its home.
-    void submit(const schema::submission& submission, const job_waiter& waiter);
+    void submit(schema::submission submission, const job_waiter& waiter);
     /// True when this entry has a job or a refusal in force for the submission.
     [[nodiscard]] bool knows(const std::string& submission_id);
     void lookup(const std::string& submission_id, const job_waiter& waiter);
@@ -82,8 +82,7 @@
               const job_waiter& waiter);
     void refuse(const schema::submission& submission, const std::string& digest,
                 const job_waiter& waiter, const refusal& why);
-    void accept(const schema::submission& submission, const std::string& digest,
-                const job_waiter& waiter);
+    void accept(schema::submission submission, const std::string& digest, const job_waiter& waiter);
     [[nodiscard]] bool needs_ledger(const std::string& submission_id);
     void claimed(job& it);
     void taken_over(job& it, const schema::claim_result& result);
--- a/savoryreach/entry/kind_estimates.hpp
+++ b/savoryreach/entry/kind_estimates.hpp
@@ -57,6 +57,7 @@
     void unlist(id endpoint);
     [[nodiscard]] bool is_listed(id endpoint) const;
     [[nodiscard]] bool has_listed() const { return listed_ > 0; }
+    [[nodiscard]] std::size_t listed() const { return listed_; }
     /// The expected time that a rank stands for, to the resolution of the ranking.
     [[nodiscard]] static double seconds_of(const rank& position);
     [[nodiscard]] const std::vector<ranking>& rankings() const { return rankings_; }
--- a/savoryreach/entry/membership.cpp
+++ b/savoryreach/entry/membership.cpp
@@ -19,7 +19,7 @@
     return epoch_ != 0 && phase_ != phase::left && context_.now() < lease_until_;
 }
 
-void membership::tick(const agent_progress& agents)
+void membership::tick(absl::FunctionRef<agent_progress()> agents)
 {
     const auto now = context_.now();
     if (phase_ == phase::joining && request_ == 0)
@@ -28,7 +28,7 @@
     }
     if (phase_ == phase::live && now >= renew_at_)
     {
-        renew(agents);
+        renew(agents());
     }
     if (is_lease_reported_ && now >= lease_until_)
     {
@@ -265,11 +265,14 @@
     schema::cluster_view view;
     view.set_config_revision(config_revision_);
     view.set_config_complete(agent_revision == 0);
-    for (const auto& [name, it] : config_)
+    if (agent_revision < config_revision_)
     {
-        if (it.config_revision() > agent_revision)
+        for (const auto& [name, it] : config_)
         {
-            *view.add_config() = it;
+            if (it.config_revision() > agent_revision)
+            {
+                *view.add_config() = it;
+            }
         }
     }
     if (with_members)
--- a/savoryreach/entry/membership.hpp
+++ b/savoryreach/entry/membership.hpp
@@ -5,6 +5,7 @@
 #include "savoryreach/entry/router.hpp"
 
 #include <absl/container/btree_map.h>
+#include <absl/functional/function_ref.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -39,7 +40,8 @@
 
     membership(entry_context& context, keeper_client& keepers, hooks call);
 
-    void tick(const agent_progress& agents);
+    /// \p agents tells the progress when it is reported.
+    void tick(absl::FunctionRef<agent_progress()> agents);
     /// Takes a view that a keeper pushed.
     void pushed(const schema::cluster_view& view);
     /// A keeper has said that this epoch is fenced.
--- a/savoryreach/entry/placement.cpp
+++ b/savoryreach/entry/placement.cpp
@@ -144,6 +144,14 @@
     return state_->kinds[state_->find_kind(kind)].estimates.has_listed();
 }
 
+bool placement::is_runnable_elsewhere(const std::string& kind, const base::node_name& agent) const
+{
+    const auto& estimates = state_->kinds[state_->find_kind(kind)].estimates;
+    const auto id = state_->find(agent);
+    const std::size_t here = id && estimates.is_listed(*id) ? 1 : 0;
+    return estimates.listed() > here;
+}
+
 bool placement::can_ever_run(const std::string& kind) const
 {
     return state_->kinds[state_->find_kind(kind)].endpoints > 0;
--- a/savoryreach/entry/placement.hpp
+++ b/savoryreach/entry/placement.hpp
@@ -68,6 +68,9 @@
 
     /// True when some endpoint that is not set aside has credit for \p kind.
     [[nodiscard]] bool is_runnable(const std::string& kind) const;
+    /// True when some endpoint other than \p agent is usable in this way.
+    [[nodiscard]] bool is_runnable_elsewhere(const std::string& kind,
+                                             const base::node_name& agent) const;
     /// False when no known endpoint, with or without credit, accepts \p kind.
     [[nodiscard]] bool can_ever_run(const std::string& kind) const;
 
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -10,6 +10,7 @@
   entry/agent_table.cpp
   entry/answers.cpp
   entry/claim_client.cpp
+  entry/demand_watch.cpp
   entry/dispatcher.cpp
   entry/entry_core.cpp
   entry/entry_describe.cpp
@@ -21,6 +22,7 @@
   entry/job_table.cpp
   entry/job_waiters.cpp
   entry/keeper_client.cpp
+  entry/link_timers.cpp
   entry/membership.cpp
   entry/recovery.cpp
   entry/router.cpp
--- a/savoryreach/net/session.hpp
+++ b/savoryreach/net/session.hpp
@@ -6,6 +6,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -39,6 +40,8 @@
     [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
     [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
     [[nodiscard]] std::size_t unacknowledged() const { return queue_.size(); }
+    /// When poll() has to be called although nothing was pushed; InfiniteFuture when never.
+    [[nodiscard]] absl::Time deadline() const { return std::min(resend_at_, acknowledge_at_); }
 
     static constexpr std::size_t max_items_per_frame = 512;
     /// A frame ends after the item that reaches this many payload bytes.
--- a/tests/entry/entry_agent_test.cpp
+++ b/tests/entry/entry_agent_test.cpp
@@ -167,6 +167,49 @@
     EXPECT_EQ(agents["a1"]->starts.size(), 100);
 }
 
+// Guards against a release that is never sent, and against one message for each.
+TEST_F(entry_agent_test, releases_are_sent_together_within_the_release_delay)
+{
+    auto& entry = start_one();
+    schema::declaration retention;
+    retention.set_name("retention");
+    retention.set_version(1);
+    retention.mutable_retention()->set_answer_retention_ms(500);
+    keeper.configure(retention);
+    for (int n = 0; n < 5; ++n)
+    {
+        submit(entry, make("s" + std::to_string(n), 1));
+        run(absl::Milliseconds(20));
+    }
+    run(absl::Milliseconds(420));
+    const auto before = entry.core->status().frames_sent;
+    run(absl::Milliseconds(400));
+    EXPECT_EQ(agents["a1"]->released.size(), 5);
+    // Five releases, and meanwhile one renewal, one hello and the acknowledgements of the test.
+    EXPECT_LE(entry.core->status().frames_sent - before, 4);
+}
+
+// Guards against an agent that is never suspected again after it came back.
+TEST_F(entry_agent_test, agent_that_comes_back_is_watched_again)
+{
+    auto& entry = start_one();
+    const auto count = [&entry](const std::string& kind)
+    {
+        return std::ranges::count(entry.events, kind);
+    };
+    for (int n = 1; n <= 2; ++n)
+    {
+        network.cut(base::node_name("a1"), base::node_name("e1"));
+        run(absl::Seconds(7));
+        EXPECT_EQ(count("agent_suspected"), n);
+        EXPECT_EQ(count("agent_lost"), n);
+        EXPECT_EQ(entry.core->status().agents, 0);
+        network.mend_all();
+        run(absl::Seconds(1));
+        EXPECT_EQ(entry.core->status().agents, 1);
+    }
+}
+
 // Guards against a session lease that outlives the entry's own lease.
 TEST_F(entry_agent_test, session_lease_ends_no_later_than_the_entry_lease)
 {
