--- a/savoryreach/entry/dispatcher.hpp
+++ b/savoryreach/entry/dispatcher.hpp
@@ -52,6 +52,8 @@
     void send_start(job& it, std::uint32_t index, agent_link& link);
     void recall_stragglers();
     void recall_from(agent_link& link, absl::Time now);
+    /// When the attempt counts as behind a straggler.
+    [[nodiscard]] absl::Time recall_time(const job_task& task, const std::string& kind) const;
 
     /// Jobs near their end that wait for a fast endpoint don't stop the others; this bounds the
     /// work of one pass.
@@ -61,8 +63,7 @@
     static constexpr double recall_after_runs = 2.0;
 
     late_handler refuse_if_late_;
-    parts of_;                                    ///< shared with the other classes of the core
-    absl::Time recall_at_ = absl::InfinitePast(); ///< next look for stragglers
+    parts of_; ///< shared with the other classes of the core
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -179,15 +179,15 @@
             return;
         }
     }
-    handle_here(request, waiter);
+    handle_here(std::move(request), waiter);
 }
 
-void entry_core::state::handle_here(const caller_request& request, const job_waiter& waiter)
+void entry_core::state::handle_here(caller_request request, const job_waiter& waiter)
 {
     switch (request.kind)
     {
     case request_kind::submit:
-        flow.submit(request.submission, waiter);
+        flow.submit(std::move(request.submission), waiter);
         break;
     case request_kind::lookup:
         flow.lookup(request.submission.submission_id(), waiter);
