Report the end of a job only after its claim

Cause: a job that was cancelled while its claim was in flight sent its finish at once. The ledger ignored it, because it did not know the claim yet, and granted the claim afterwards, so that a copy after the answer retention ran a job that had been answered cancelled.

--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -158,7 +158,7 @@
         return;
     }
     auto* it = jobs_.find(claim.submission_id());
-    if (it == nullptr || it->is_ended() || it->is_claimed)
+    if (it == nullptr || it->is_claimed)
     {
         return;
     }
@@ -167,6 +167,11 @@
         // The claim of a refused job whose id was used again meanwhile; this job's own follows.
         return;
     }
+    if (it->is_ended())
+    {
+        finish_late(*it, result.outcome());
+        return;
+    }
     switch (result.outcome())
     {
     case schema::claim_granted:
@@ -208,6 +213,29 @@
     }
 }
 
+void job_flow::finish_late(job& it, schema::claim_outcome outcome)
+{
+    it.is_claimed = outcome == schema::claim_granted || outcome == schema::claim_taken_over;
+    if (!it.is_finish_due)
+    {
+        return;
+    }
+    if (it.is_claimed)
+    {
+        of_.claims.finish(it.id());
+    }
+    else if (outcome == schema::claim_outcome_unspecified)
+    {
+        of_.claims.claim(it.id(), it.digest);
+    }
+    else
+    {
+        // The claim belongs to another owner, so its end is not this entry's to report.
+        it.is_finish_due = false;
+        forget_if_over(it, context_.now());
+    }
+}
+
 void job_flow::claimed(job& it)
 {
     it.is_claimed = true;
@@ -384,7 +412,10 @@
     if (it.answer->not_run() != schema::not_run_true)
     {
         it.is_finish_due = true;
-        of_.claims.finish(it.id());
+        if (it.is_claimed)
+        {
+            of_.claims.finish(it.id());
+        }
     }
     context_.ports.events.record(
         "job_answered", {{"submission", it.id()},
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -85,6 +85,8 @@
     void accept(const schema::submission& submission, const std::string& digest,
                 const job_waiter& waiter);
     [[nodiscard]] bool needs_ledger(const std::string& submission_id);
+    /// A finish that overtakes its claim would be lost, so that a later copy could run.
+    void finish_late(job& it, schema::claim_outcome outcome);
     void claimed(job& it);
     void taken_over(job& it, const schema::claim_result& result);
     void owned_elsewhere(job& it, const std::string& owner);
