--- a/tests/simulation/sources.cmake
+++ b/tests/simulation/sources.cmake
@@ -36,7 +36,7 @@
 endfunction()
 
 randomised_run_break(double_start 1 at_most_once)
-randomised_run_break(overlapping_stop 3 one_attempt)
+randomised_run_break(overlapping_stop 25 one_attempt)
 randomised_run_break(endless_starts 3 bounded_starts)
 randomised_run_break(altered_output 1 complete_answer)
 randomised_run_break(swapped_answer 1 own_answer)
