--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -3,7 +3,10 @@
 #include "tools/load/http_driver.hpp"
 #include "tools/load/report.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -100,8 +103,14 @@
     }
 
 private:
-    bool run_real(const std::vector<planned_job>& plan)
+    bool run_real(std::vector<planned_job> plan)
     {
+        // The ledger remembers the ids of earlier runs for a day.
+        const auto run = absl::StrCat("run-", absl::ToUnixMicros(absl::Now()), "-");
+        for (auto& it : plan)
+        {
+            it.id = run + it.id;
+        }
         http_options options;
         options.entries = absl::StrSplit(FLAGS_entries, ',');
         options.threads = std::max<std::size_t>(1, FLAGS_threads);
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -42,6 +42,9 @@
         per_task(m.total(), run), per_task(m.session, run), per_task(m.hello, run),
         per_task(m.keeper_clients, run), per_task(m.keeper_internal, run),
         per_task(m.forward, run));
+    std::cout << absl::StrFormat("  starts per task                    %.5f (%d beyond one of "
+                                 "tasks that are not idempotent)\n",
+                                 per_task(run.starts, run), run.double_starts);
     for (const auto& [name, n] : run.session_frames)
     {
         std::cout << absl::StrFormat("    frame %-28s %.3f per task\n", name, per_task(n, run));
@@ -155,10 +158,10 @@
     std::cout << absl::StrFormat(
         "  share of capacity                  offered %.3f  started %.3f  goodput %.3f\n",
         it.offered, it.started, it.goodput);
-    print_messages(it.run);
-    std::cout << absl::StrFormat("  starts per task                    %.5f (%d beyond one of "
-                                 "tasks that are not idempotent)\n",
-                                 per_task(it.run.starts, it.run), it.run.double_starts);
+    if (it.run.started_tasks > 0)
+    {
+        print_messages(it.run);
+    }
     if (it.run.processor_s > 0)
     {
         std::cout << absl::StrFormat("  processor time per task            %.1f us\n",
@@ -194,15 +197,18 @@
     value["other_work_per_s"] = it.other_work_per_s;
     value["other_response_s"] = quantiles_json(it.other_response_s);
     const auto& m = it.run.messages;
-    auto& messages = value["messages_per_task"];
-    messages["total"] = per_task(m.total(), it.run);
-    messages["session"] = per_task(m.session, it.run);
-    messages["hello"] = per_task(m.hello, it.run);
-    messages["keeper_clients"] = per_task(m.keeper_clients, it.run);
-    messages["keeper_internal"] = per_task(m.keeper_internal, it.run);
-    messages["forward"] = per_task(m.forward, it.run);
-    value["starts_per_task"] = per_task(it.run.starts, it.run);
-    value["starts_beyond_first"] = static_cast<Json::UInt64>(it.run.double_starts);
+    if (it.run.started_tasks > 0)
+    {
+        auto& messages = value["messages_per_task"];
+        messages["total"] = per_task(m.total(), it.run);
+        messages["session"] = per_task(m.session, it.run);
+        messages["hello"] = per_task(m.hello, it.run);
+        messages["keeper_clients"] = per_task(m.keeper_clients, it.run);
+        messages["keeper_internal"] = per_task(m.keeper_internal, it.run);
+        messages["forward"] = per_task(m.forward, it.run);
+        value["starts_per_task"] = per_task(it.run.starts, it.run);
+        value["starts_beyond_first"] = static_cast<Json::UInt64>(it.run.double_starts);
+    }
     value["processor_s"] = it.run.processor_s;
     return value;
 }
