--- a/tests/net/session_test.cpp
+++ b/tests/net/session_test.cpp
@@ -144,6 +144,31 @@
     EXPECT_LE(network_->sent(), 2 * 1000 + 4u);
 }
 
+// Guards against an unhurried item that gets a frame of its own, is overtaken or is never sent.
+TEST_F(session_test, unhurried_item_rides_along_or_leaves_by_its_deadline)
+{
+    connect(1);
+    schema::session_item item;
+    item.mutable_demand()->set_waiting(ends_[0].pushed++);
+    ends_[0].stream.push_by(item, clock_.now() + absl::Milliseconds(50));
+    step();
+    EXPECT_EQ(network_->sent(), 0u);
+    push(ends_[0]);
+    step();
+    EXPECT_EQ(network_->sent(), 1u);
+    item.mutable_demand()->set_waiting(ends_[0].pushed++);
+    ends_[0].stream.push_by(item, clock_.now() + absl::Milliseconds(50));
+    for (int n = 0; n < 49; ++n)
+    {
+        step();
+    }
+    EXPECT_EQ(network_->sent(), 1u);
+    step();
+    EXPECT_EQ(network_->sent(), 2u);
+    run_until_acknowledged(100);
+    expect_all_delivered();
+}
+
 // Guards against a resend storm towards a peer that is gone: the backoff bounds the frames.
 TEST_F(session_test, silent_peer_resends_back_off)
 {
