--- a/performance_test/capacity/claim_probe.cpp
+++ b/performance_test/capacity/claim_probe.cpp
@@ -108,7 +108,7 @@
         bench_transport(claim_bench& in, keeper_process& from) : bench_(in), from_(from) {}
         void send(const base::node_name& to, schema::envelope message) override
         {
-            bench_.sent_.emplace_back(&from_, to, std::move(message));
+            bench_.sent_.push_back({&from_, to, std::move(message)});
         }
         void learn_address(const base::node_name&, const std::string&) override {}
 
--- a/savoryreach/agent/task_runner.cpp
+++ b/savoryreach/agent/task_runner.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// Ten minutes of retention at 83 starts per second. A record costs up to 600 bytes, so that records,
-/// 16 MB of results and the process itself stay within 64 MB.
+/// Ten minutes of retention at 83 starts per second. A record costs up to 600 bytes, so that
+/// records, 16 MB of results and the process itself stay within 64 MB.
 constexpr std::size_t max_start_records = 50'000;
 
 template <typename Message>
