Pass submissions on while draining, and ask live former homes before a start

Cause 1: a draining home refused its whole range. It now passes what it does not know to the next entry in rendezvous order, with hops that make that entry handle it; the claim decides. It refuses with `draining` only when alone, after asking the ledger about what it passed on, and with `not_run: unknown` when the request comes back or the next entry has changed within the last second.

Cause 2: the hold of 1 s after a home change did not cover a former home that is live and refuses under an older view until its lease of 3 s ends. The new home now asks it (lookup with takes_over) once the claim is granted, within 4 s after the change, and takes over a refusal in force. The former home asks the ledger from then on before it says that nothing ran. The hold is kept where the former home is gone.

--- a/savoryreach/entry/answers.cpp
+++ b/savoryreach/entry/answers.cpp
@@ -57,6 +57,13 @@
     return answer;
 }
 
+schema::job_answer conflict_answer(const std::string& submission_id)
+{
+    const auto kind = base::error_kind::content_conflict;
+    return error_answer(submission_id, {kind, "the submission id was used with other content"},
+                        base::traits_of(kind).claim);
+}
+
 schema::job_answer complete_answer(const job& it, absl::Time now)
 {
     auto answer = answer_of(it.id(), schema::job_state_complete);
--- a/savoryreach/entry/answers.hpp
+++ b/savoryreach/entry/answers.hpp
@@ -20,6 +20,9 @@
                                               const base::reason& why, base::not_run claim,
                                               absl::Duration retry_after = absl::ZeroDuration());
 
+/// The failure of a copy whose content differs from that of the known submission.
+[[nodiscard]] schema::job_answer conflict_answer(const std::string& submission_id);
+
 /// The complete answer of a job all of whose tasks have succeeded.
 [[nodiscard]] schema::job_answer complete_answer(const job& it, absl::Time now);
 
--- a/savoryreach/entry/entry_describe.cpp
+++ b/savoryreach/entry/entry_describe.cpp
@@ -32,6 +32,8 @@
         return "claiming";
     case job_phase::verifying:
         return "verifying";
+    case job_phase::asking:
+        return "asking";
     case job_phase::held:
         return "held";
     case job_phase::recovering:
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -143,6 +143,39 @@
     return is_here ? base::node_name() : home->name;
 }
 
+base::node_name entry_core::state::successor(const std::string& submission_id, std::uint32_t hops)
+{
+    if (!flow.is_draining() || hops >= forwarding::hops_to_owner ||
+        routes.was_other_without(context.self, submission_id, context.now()))
+    {
+        return {};
+    }
+    const auto next = routes.home_without(context.self, submission_id);
+    if (!next)
+    {
+        return {};
+    }
+    flow.passed_on(submission_id);
+    return next->name;
+}
+
+bool entry_core::state::refuse_draining(const std::string& submission_id, const job_waiter& waiter)
+{
+    const bool is_alone = !routes.home_without(context.self, submission_id) &&
+                          !routes.was_other_without(context.self, submission_id, context.now());
+    if (!flow.is_draining() || is_alone)
+    {
+        return false;
+    }
+    // The request came back from the entry after this one, or that entry has just changed. A third
+    // entry may take the next copy at any time, so nothing can be said about what runs.
+    const auto why =
+        make_refusal(base::error_kind::draining, "the entry is draining", context.ports.random);
+    ++context.counters.refused;
+    deliver(waiter, error_answer(submission_id, why.why, base::not_run::unknown, why.retry_after));
+    return true;
+}
+
 bool entry_core::state::check_ready(const std::string& submission_id, const job_waiter& waiter)
 {
     if (members.has_lease() && !members.is_leaving())
@@ -172,9 +205,14 @@
             return;
         }
         const auto home = other_home(id, request.hops);
-        if (!home.empty())
+        const auto next = successor(id, request.hops);
+        if (!home.empty() || !next.empty())
+        {
+            forwards.start(std::move(request), home.empty() ? next : home, home.empty());
+            return;
+        }
+        if (refuse_draining(id, waiter))
         {
-            forwards.start(std::move(request), home, false);
             return;
         }
     }
@@ -222,11 +260,12 @@
 }
 
 void entry_core::state::redirect(const base::node_name& to, std::uint64_t request_id,
-                                 const base::node_name& owner)
+                                 const base::node_name& owner, std::uint32_t hops)
 {
     schema::envelope message;
     message.mutable_forward_answer()->set_request_id(request_id);
     message.mutable_forward_answer()->set_owner(owner.value());
+    message.mutable_forward_answer()->set_hops(hops);
     context.send(to, std::move(message));
 }
 
@@ -237,6 +276,12 @@
     const job_waiter waiter{from, message.request_id(),
                             context.now() + absl::Milliseconds(message.remaining_ms()),
                             message.respond_now(), message.hops()};
+    if (message.takes_over())
+    {
+        flow.taken_by_new_home(id);
+        flow.lookup(id, waiter);
+        return;
+    }
     if (!flow.knows(id))
     {
         if (!check_ready(id, waiter))
@@ -244,9 +289,15 @@
             return;
         }
         const auto home = other_home(id, message.hops());
-        if (!home.empty())
+        const auto next = successor(id, message.hops());
+        if (!home.empty() || !next.empty())
+        {
+            redirect(from, message.request_id(), home.empty() ? next : home,
+                     home.empty() ? forwarding::hops_to_owner : 0);
+            return;
+        }
+        if (refuse_draining(id, waiter))
         {
-            redirect(from, message.request_id(), home);
             return;
         }
     }
@@ -267,9 +318,11 @@
     if (!flow.knows(id))
     {
         const auto home = other_home(id, message.hops());
-        if (!home.empty())
+        const auto next = successor(id, message.hops());
+        if (!home.empty() || !next.empty())
         {
-            redirect(from, message.request_id(), home);
+            redirect(from, message.request_id(), home.empty() ? next : home,
+                     home.empty() ? forwarding::hops_to_owner : 0);
             return;
         }
     }
@@ -285,7 +338,10 @@
         receive_submit(from, message.forward_submit());
         break;
     case schema::envelope::kForwardAnswer:
-        forwards.receive(from, message.forward_answer());
+        if (!flow.former_home_answered(message.forward_answer()))
+        {
+            forwards.receive(from, message.forward_answer());
+        }
         break;
     case schema::envelope::kForwardCancel:
         receive_cancel(from, message.forward_cancel());
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -74,11 +74,16 @@
     [[nodiscard]] base::node_name other_home(const std::string& submission_id, std::uint32_t hops);
     /// True when the request may be handled here; otherwise it has been answered.
     bool check_ready(const std::string& submission_id, const job_waiter& waiter);
+    /// The entry that takes over what a draining entry does not know; empty when this entry does
+    /// not drain, when no other entry is live, or when the request was sent to the owner.
+    [[nodiscard]] base::node_name successor(const std::string& submission_id, std::uint32_t hops);
+    /// True when the request has been refused, as this entry drains and can't say what ran.
+    bool refuse_draining(const std::string& submission_id, const job_waiter& waiter);
     void deliver(const job_waiter& waiter, const schema::job_answer& answer);
     void receive_submit(const base::node_name& from, const schema::forward_submit& message);
     void receive_cancel(const base::node_name& from, const schema::forward_cancel& message);
-    void redirect(const base::node_name& to, std::uint64_t request_id,
-                  const base::node_name& owner);
+    void redirect(const base::node_name& to, std::uint64_t request_id, const base::node_name& owner,
+                  std::uint32_t hops = 0);
     void leave_when_idle();
 
     absl::Time busy_at_ = absl::InfinitePast(); ///< when something was in flight last
--- a/savoryreach/entry/forwarding.cpp
+++ b/savoryreach/entry/forwarding.cpp
@@ -84,7 +84,7 @@
         // A redirect by an entry that was asked earlier is out of date.
         if (found->second.home == from)
         {
-            redirect(found, base::node_name(answer.owner()));
+            redirect(found, base::node_name(answer.owner()), answer.hops());
         }
         return;
     }
@@ -93,10 +93,12 @@
     call_.answered(request_id, answer.answer());
 }
 
-void forwarding::redirect(request_map::iterator found, const base::node_name& owner)
+void forwarding::redirect(request_map::iterator found, const base::node_name& owner,
+                          std::uint32_t least_hops)
 {
     auto& it = found->second;
-    if (++it.request.hops > max_hops)
+    it.request.hops = std::max(it.request.hops + 1, least_hops);
+    if (it.request.hops > max_hops)
     {
         // The views differ; they will agree within one lease renewal.
         it.request.hops = 0;
--- a/savoryreach/entry/forwarding.hpp
+++ b/savoryreach/entry/forwarding.hpp
@@ -75,7 +75,8 @@
     using request_map = absl::btree_map<std::uint64_t, pending>;
 
     void send(std::uint64_t id, pending& it);
-    void redirect(request_map::iterator found, const base::node_name& owner);
+    void redirect(request_map::iterator found, const base::node_name& owner,
+                  std::uint32_t least_hops);
     /// False when the request is now handled here.
     bool choose_home(request_map::iterator found);
     void erase(request_map::iterator found);
--- a/savoryreach/entry/job.hpp
+++ b/savoryreach/entry/job.hpp
@@ -67,6 +67,7 @@
 {
     claiming,   ///< waits for the ledger
     verifying,  ///< waits for the ledger, to be refused if nothing of it ran
+    asking,     ///< claimed; asks live former homes for refusals in force
     held,       ///< claimed; waits until refusals of a former home have lapsed
     recovering, ///< asks the agents what earlier epochs have started
     running,
@@ -115,21 +116,22 @@
     bool is_verified = true;    ///< no earlier epoch can have started tasks, except by recovery
     base::reason refusal;       ///< while verifying: why it is refused
     absl::Duration retry_after; ///< while verifying: retry time of the refusal
-    absl::Time held_until;      ///< while held
-    absl::Time close_by;        ///< while closing
-    base::reason failure;       ///< while closing: why it fails
-    std::vector<std::uint64_t> dead_epochs;     ///< while recovering
-    std::vector<job_task> tasks;                ///< in the submission's order
-    std::uint32_t waiting = 0;                  ///< tasks in phase waiting
-    std::uint32_t succeeded = 0;                ///< tasks in phase succeeded
-    std::uint32_t next_waiting = 0;             ///< no task before it is waiting
-    absl::btree_set<base::node_name> failed_at; ///< endpoints where tasks failed
-    base::reason last_reason;                   ///< of the last failed attempt
-    absl::btree_set<agent_life> touched;        ///< agents that may hold records
-    std::vector<job_waiter> waiters;            ///< to be answered
-    std::optional<schema::job_answer> answer;   ///< set when ended
-    absl::Time retain_until;                    ///< the answer is kept until then
-    bool is_finish_due = false;                 ///< finish sent and not acknowledged
+    bool has_asked = false;     ///< no live former home has a refusal in force
+    absl::Time held_until = absl::InfinitePast(); ///< while held; also set by a former home's end
+    absl::Time close_by;                          ///< while closing
+    base::reason failure;                         ///< while closing: why it fails
+    std::vector<std::uint64_t> dead_epochs;       ///< while recovering
+    std::vector<job_task> tasks;                  ///< in the submission's order
+    std::uint32_t waiting = 0;                    ///< tasks in phase waiting
+    std::uint32_t succeeded = 0;                  ///< tasks in phase succeeded
+    std::uint32_t next_waiting = 0;               ///< no task before it is waiting
+    absl::btree_set<base::node_name> failed_at;   ///< endpoints where tasks failed
+    base::reason last_reason;                     ///< of the last failed attempt
+    absl::btree_set<agent_life> touched;          ///< agents that may hold records
+    std::vector<job_waiter> waiters;              ///< to be answered
+    std::optional<schema::job_answer> answer;     ///< set when ended
+    absl::Time retain_until;                      ///< the answer is kept until then
+    bool is_finish_due = false;                   ///< finish sent and not acknowledged
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -20,19 +20,45 @@
     return std::string(base::traits_of(kind).name);
 }
 
-base::reason conflict_reason()
-{
-    return {base::error_kind::content_conflict, "the submission id was used with other content"};
-}
-
 } // namespace
 
 job_flow::job_flow(const parts& of, hooks call)
     : of_(of), context_(of.shared.context), jobs_(of.shared.jobs),
-      waiters_(of.shared.jobs, std::move(call.answer)), moved_(std::move(call.moved))
+      waiters_(of.shared.jobs, std::move(call.answer)),
+      former_(of.shared.context, of.routes,
+              {[this](job_number number, const schema::job_answer& refusal)
+               {
+                   if (auto* it = jobs_.find(number); it != nullptr && !it->is_ended())
+                   {
+                       refuse_job(*it,
+                                  {base::error_kind_from(refusal.error_kind()), refusal.reason()},
+                                  absl::Milliseconds(refusal.retry_after_ms()));
+                   }
+               },
+               [this](job_number number, absl::Time not_before)
+               {
+                   auto* it = jobs_.find(number);
+                   if (it != nullptr && it->phase == job_phase::asking)
+                   {
+                       it->has_asked = true;
+                       it->held_until = not_before;
+                       begin(*it);
+                   }
+               }}),
+      moved_(std::move(call.moved))
 {
 }
 
+void job_flow::taken_by_new_home(const std::string& submission_id)
+{
+    passed_on(submission_id);
+    auto* it = jobs_.find(submission_id);
+    if (it != nullptr && !it->is_claimed)
+    {
+        it->is_verified = false;
+    }
+}
+
 bool job_flow::knows(const std::string& submission_id)
 {
     return jobs_.find(submission_id) != nullptr ||
@@ -75,9 +101,7 @@
 {
     if (it.digest != digest)
     {
-        const auto why = conflict_reason();
-        waiters_.answer(
-            waiter, error_answer(submission.submission_id(), why, base::traits_of(why.kind).claim));
+        waiters_.answer(waiter, conflict_answer(submission.submission_id()));
         return;
     }
     if (job_waiters::has(it, waiter))
@@ -140,147 +164,6 @@
     of_.claims.claim(it.id(), digest);
 }
 
-void job_flow::claim_answered(const std::string& submission_id, const schema::claim_result& result)
-{
-    if (result.outcome() == schema::claim_fenced)
-    {
-        of_.shared.members.epoch_fenced();
-        return;
-    }
-    auto* it = jobs_.find(submission_id);
-    if (it == nullptr || it->is_ended() || it->is_claimed)
-    {
-        return;
-    }
-    switch (result.outcome())
-    {
-    case schema::claim_granted:
-        claimed(*it);
-        break;
-    case schema::claim_taken_over:
-        taken_over(*it, result);
-        break;
-    case schema::claim_owned:
-        owned_elsewhere(*it, result.owner());
-        break;
-    case schema::claim_finished:
-        waiters_.answer_all(*it,
-                            error_answer(it->id(),
-                                         {base::error_kind::answer_not_held,
-                                          "the job has ended and its answer is no longer held"},
-                                         base::not_run::no));
-        jobs_.note_finished(it->id(), context_.now());
-        drop(*it);
-        break;
-    case schema::claim_conflict:
-        waiters_.answer_all(
-            *it, error_answer(it->id(), conflict_reason(),
-                              base::traits_of(base::error_kind::content_conflict).claim));
-        drop(*it);
-        break;
-    case schema::claim_full:
-    {
-        const auto why =
-            make_refusal(base::error_kind::ledger_full, "the ledger holds its maximum of claims",
-                         context_.ports.random);
-        it->is_verified = true;
-        refuse_job(*it, why.why, why.retry_after);
-        break;
-    }
-    default:
-        of_.claims.claim(it->id(), it->digest);
-        break;
-    }
-}
-
-void job_flow::claimed(job& it)
-{
-    it.is_claimed = true;
-    context_.ports.events.record("claim_granted", {{"submission", it.id()}});
-    if (it.phase == job_phase::verifying)
-    {
-        const auto why = it.refusal;
-        refuse_job(it, why, it.retry_after);
-        return;
-    }
-    begin(it);
-}
-
-void job_flow::taken_over(job& it, const schema::claim_result& result)
-{
-    it.is_claimed = true;
-    context_.ports.events.record(
-        "claim_granted",
-        {{"submission", it.id()}, {"previous_epoch", absl::StrCat(result.previous_epoch())}});
-    if (it.phase == job_phase::verifying)
-    {
-        // Tasks may have run, so the refusal can't stand: the job is carried on instead.
-        --verifying_;
-        it.phase = job_phase::claiming;
-    }
-    it.dead_epochs.assign(result.earlier_epochs().begin(), result.earlier_epochs().end());
-    if (result.previous_epoch() != 0)
-    {
-        it.dead_epochs.push_back(result.previous_epoch());
-    }
-    std::ranges::sort(it.dead_epochs);
-    it.dead_epochs.erase(std::unique(it.dead_epochs.begin(), it.dead_epochs.end()),
-                         it.dead_epochs.end());
-    for (auto& task : it.tasks)
-    {
-        task.phase = task_phase::unresolved;
-    }
-    of_.shared.queue.remove(it);
-    begin(it);
-}
-
-void job_flow::begin(job& it)
-{
-    const auto now = context_.now();
-    waiters_.answer_impatient(it);
-    it.held_until = of_.routes.hold_until(it.id(), now);
-    if (it.held_until > now)
-    {
-        it.phase = job_phase::held;
-        jobs_.wake_at(it.number, it.held_until);
-        return;
-    }
-    if (!it.dead_epochs.empty())
-    {
-        it.phase = job_phase::recovering;
-        of_.takeovers.add(it);
-        return;
-    }
-    it.phase = job_phase::running;
-    of_.shared.queue.start(it);
-}
-
-void job_flow::resume(job& it)
-{
-    assert(it.phase == job_phase::recovering);
-    it.phase = job_phase::running;
-    of_.shared.queue.reserve(it);
-    of_.shared.queue.start(it);
-    progressed(it);
-}
-
-void job_flow::owned_elsewhere(job& it, const std::string& owner)
-{
-    if (owner == context_.self.value())
-    {
-        // An earlier epoch of this process's name that is not fenced yet.
-        of_.claims.claim(it.id(), it.digest);
-        return;
-    }
-    const auto waiters = waiters_.take_all(it);
-    const auto submission = it.submission;
-    drop(it);
-    for (const auto& waiter : waiters)
-    {
-        moved_(waiter, submission, base::node_name(owner));
-    }
-}
-
 void job_flow::refuse_job(job& it, const base::reason& why, absl::Duration retry_after)
 {
     ++context_.counters.refused;
@@ -300,6 +183,7 @@
 {
     of_.shared.queue.remove(it);
     of_.takeovers.remove(it);
+    former_.remove(it.number);
     of_.starts.release(it);
     of_.starts.forget(it);
     if (it.phase == job_phase::verifying)
@@ -361,6 +245,7 @@
     }
     of_.shared.queue.remove(it);
     of_.takeovers.remove(it);
+    former_.remove(it.number);
     it.phase = job_phase::ended;
     it.answer = std::move(answer);
     it.retain_until = context_.now() + of_.policy.answer_retention();
@@ -428,6 +313,7 @@
 {
     const auto now = context_.now();
     jobs_.expire_refusals(now);
+    former_.tick();
     for (const auto number : jobs_.due(now))
     {
         if (auto* it = jobs_.find(number))
@@ -466,6 +352,11 @@
     fail(*it, {base::error_kind::cancelled, "the caller has cancelled the job"});
 }
 
+void job_flow::passed_on(const std::string& submission_id)
+{
+    jobs_.note_finished(submission_id, context_.now());
+}
+
 void job_flow::lease_lost()
 {
     std::vector<job_number> unstarted;
@@ -505,6 +396,7 @@
         });
     of_.shared.queue.clear();
     of_.takeovers.clear();
+    former_.clear();
     jobs_.clear();
     verifying_ = 0;
 }
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -4,6 +4,7 @@
 #include "savoryreach/entry/admission.hpp"
 #include "savoryreach/entry/claim_client.hpp"
 #include "savoryreach/entry/dispatcher.hpp"
+#include "savoryreach/entry/former_homes.hpp"
 #include "savoryreach/entry/forwarding.hpp"
 #include "savoryreach/entry/job_policy.hpp"
 #include "savoryreach/entry/job_table.hpp"
@@ -51,6 +52,12 @@
     void cancel(const std::string& submission_id, const job_waiter& waiter);
     void caller_gone(std::uint64_t request_id) { waiters_.remove_caller(request_id); }
 
+    /// A live entry holds the claim of the submission, as the home of a newer view.
+    void taken_by_new_home(const std::string& submission_id);
+    bool former_home_answered(const schema::forward_answer& answer)
+    {
+        return former_.receive(answer);
+    }
     void claim_answered(const std::string& submission_id, const schema::claim_result& result);
     void finish_acknowledged(const std::string& submission_id);
 
@@ -71,6 +78,9 @@
 
     void begin_drain() { is_draining_ = true; }
     [[nodiscard]] bool is_draining() const { return is_draining_; }
+    /// Another entry may run the submission from now on, so that a later refusal here needs the
+    /// ledger's word that nothing ran.
+    void passed_on(const std::string& submission_id);
 
     /// Time for agents to confirm that cancelled tasks had not started.
     static constexpr absl::Duration closing_time = absl::Milliseconds(200);
@@ -99,6 +109,7 @@
     entry_context& context_;    ///< ports and counters
     job_table& jobs_;           ///< jobs and refusals
     job_waiters waiters_;       ///< callers to be answered
+    former_homes former_;       ///< asked before an unknown submission runs
     moved_handler moved_;       ///< takes waiters of jobs that belong elsewhere
     bool is_draining_ = false;  ///< new submissions are refused
     std::size_t verifying_ = 0; ///< refusals that wait for the ledger
--- a/savoryreach/entry/router.cpp
+++ b/savoryreach/entry/router.cpp
@@ -10,14 +10,15 @@
 namespace
 {
 
-const route_member* select_home(const std::vector<route_member>& members, std::string_view id)
+const route_member* select_home(const std::vector<route_member>& members, std::string_view id,
+                                const base::node_name& excluded = base::node_name())
 {
     const route_member* best = nullptr;
     std::uint64_t best_weight = 0;
     for (const auto& it : members)
     {
         const auto weight = base::stable_hash(id, base::stable_hash(it.name.value()));
-        if (best == nullptr || weight > best_weight)
+        if (it.name != excluded && (best == nullptr || weight > best_weight))
         {
             best = &it;
             best_weight = weight;
@@ -87,6 +88,26 @@
     return home != nullptr ? std::optional(*home) : std::nullopt;
 }
 
+std::optional<route_member> router::home_without(const base::node_name& excluded,
+                                                 std::string_view submission_id) const
+{
+    const auto* home = select_home(members_, submission_id, excluded);
+    return home != nullptr ? std::optional(*home) : std::nullopt;
+}
+
+bool router::was_other_without(const base::node_name& excluded, std::string_view submission_id,
+                               absl::Time now) const
+{
+    const auto current = home_without(excluded, submission_id);
+    const auto differs_now = [&](const past_view& it)
+    {
+        const auto* before = select_home(it.members, submission_id, excluded);
+        return it.replaced_at + max_refusal_retry > now && before != nullptr &&
+               (!current || *before != *current);
+    };
+    return std::ranges::any_of(past_, differs_now);
+}
+
 absl::Time router::hold_until(std::string_view submission_id, absl::Time now) const
 {
     for (auto it = past_.rbegin(); it != past_.rend(); ++it)
@@ -96,7 +117,10 @@
         {
             break;
         }
-        if (differs(*it, submission_id))
+        // A former home that is still live is asked instead.
+        const auto* before = select_home(it->members, submission_id);
+        const bool is_gone = it->any_home || (before != nullptr && !is_member(*before));
+        if (is_gone && differs(*it, submission_id))
         {
             return until;
         }
@@ -104,6 +128,40 @@
     return absl::InfinitePast();
 }
 
+bool router::is_member(const route_member& it) const
+{
+    return std::ranges::find(members_, it) != members_.end();
+}
+
+std::vector<route_member> router::former_homes(std::string_view submission_id,
+                                               const base::node_name& self, absl::Time now) const
+{
+    std::vector<route_member> homes;
+    const auto add = [&](const route_member& it)
+    {
+        if (it.name != self && is_member(it) && std::ranges::find(homes, it) == homes.end())
+        {
+            homes.push_back(it);
+        }
+    };
+    for (const auto& it : past_)
+    {
+        if (it.replaced_at + longest_stale_view + max_refusal_retry <= now)
+        {
+            continue;
+        }
+        if (it.any_home)
+        {
+            std::ranges::for_each(members_, add);
+        }
+        else if (const auto* home = select_home(it.members, submission_id))
+        {
+            add(*home);
+        }
+    }
+    return homes;
+}
+
 bool router::had_other_home(std::string_view submission_id, absl::Time now) const
 {
     return std::ranges::any_of(
--- a/tests/entry/entry_cluster_test.cpp
+++ b/tests/entry/entry_cluster_test.cpp
@@ -22,6 +22,21 @@
         add_agent("a1");
         run(absl::Milliseconds(1500));
     }
+    /// Entry "e1", which has a running job and does not learn that "e2" has joined; returns "e1".
+    entry_node& start_stale()
+    {
+        auto& former = start_one();
+        agents["a1"]->how = fake_agent::behaviour::run;
+        submit(former, make("running", 1));
+        run(absl::Milliseconds(50));
+        agents["a1"]->how = fake_agent::behaviour::succeed;
+        network.cut(base::node_name("k1"), base::node_name("e1"));
+        add_entry("e2");
+        run(absl::Milliseconds(100));
+        add_agent("a2");
+        run(absl::Milliseconds(1400));
+        return former;
+    }
     [[nodiscard]] std::string home_at(const std::string& entry) const
     {
         return id_with_home(entry, "s", {"e1", "e2"});
@@ -132,6 +147,45 @@
     EXPECT_EQ(entries["e2"]->answers[request].state(), schema::job_state_complete);
 }
 
+// Guards against a start at the new home while a refusal is in force that a live former home gave
+// under an older view.
+TEST_F(entry_cluster_test, refusal_of_a_former_home_with_a_stale_view_holds_at_the_new_home)
+{
+    auto& former = start_stale();
+    auto& home = *entries["e2"];
+    const auto id = home_at("e2");
+    former.core->begin_drain();
+    const auto refused = submit(former, make(id, 1));
+    EXPECT_EQ(former.answers[refused].not_run(), schema::not_run_true);
+    const auto retry = absl::Milliseconds(former.answers[refused].retry_after_ms());
+    const auto copy = submit(home, make(id, 1));
+    run(retry - absl::Milliseconds(1));
+    EXPECT_EQ(home.core->status().starts, 0);
+    ASSERT_TRUE(home.has(copy));
+    EXPECT_EQ(home.kind_of(copy), error_kind::draining);
+    EXPECT_EQ(home.answers[copy].not_run(), schema::not_run_true);
+    run(absl::Milliseconds(20));
+    const auto next = submit(home, make(id, 1));
+    run(absl::Milliseconds(100));
+    EXPECT_EQ(home.answers[next].state(), schema::job_state_complete);
+}
+
+// Guards against "not run" from a former home with a stale view about what the new home runs.
+TEST_F(entry_cluster_test, former_home_with_a_stale_view_does_not_deny_what_the_new_home_runs)
+{
+    auto& former = start_stale();
+    auto& home = *entries["e2"];
+    const auto id = home_at("e2");
+    const auto first = submit(home, make(id, 1));
+    run(absl::Milliseconds(100));
+    EXPECT_EQ(home.answers[first].state(), schema::job_state_complete);
+    former.core->begin_drain();
+    const auto late = submit(former, make(id, 1));
+    run(absl::Seconds(3));
+    ASSERT_TRUE(former.has(late));
+    EXPECT_NE(former.answers[late].not_run(), schema::not_run_true);
+}
+
 // Guards against "not run" for a refused copy of a job that a dead entry has run.
 TEST_F(entry_cluster_test, refusal_in_a_moved_range_asks_the_ledger_first)
 {
@@ -149,6 +203,67 @@
     EXPECT_EQ(agents["a1"]->starts.size(), 1);
 }
 
+// Guards against a draining home that refuses its whole range while another entry could take it,
+// and against a second run of what that entry already runs.
+TEST_F(entry_cluster_test, draining_home_passes_unknown_submissions_on)
+{
+    start_two();
+    agents["a1"]->how = fake_agent::behaviour::run;
+    const auto id = home_at("e1");
+    const auto known = id_with_home("e1", "known", {"e1", "e2"});
+    const auto before = submit(*entries["e1"], make(known, 1));
+    run(absl::Milliseconds(50));
+    entries["e1"]->core->begin_drain();
+    const auto first = submit(*entries["e2"], make(id, 2));
+    run(absl::Milliseconds(50));
+    EXPECT_EQ(entries["e2"]->core->status().starts, 2);
+    const auto copy = submit(*entries["e1"], make(id, 2));
+    const auto joined = submit(*entries["e1"], make(known, 1));
+    run(absl::Milliseconds(50));
+    EXPECT_EQ(entries["e1"]->core->status().starts, 1);
+    agents["a1"]->end_task(id, 0);
+    agents["a1"]->end_task(id, 1);
+    agents["a1"]->end_task(known, 0);
+    run(absl::Milliseconds(100));
+    for (const auto request : {before, copy, joined})
+    {
+        EXPECT_EQ(entries["e1"]->answers[request].state(), schema::job_state_complete);
+    }
+    EXPECT_EQ(entries["e2"]->answers[first].state(), schema::job_state_complete);
+    EXPECT_EQ(agents["a1"]->starts.size(), 3);
+    run(absl::Seconds(2));
+    EXPECT_TRUE(entries["e1"]->core->is_drained());
+}
+
+// Guards against "not run" from a draining home about a submission that it passed on earlier.
+TEST_F(entry_cluster_test, draining_home_refuses_only_when_alone_and_asks_the_ledger)
+{
+    start_two();
+    agents["a1"]->how = fake_agent::behaviour::run;
+    const auto running = submit(*entries["e1"], make(id_with_home("e1", "r", {"e1", "e2"}), 1));
+    run(absl::Milliseconds(50));
+    entries["e1"]->core->begin_drain();
+    const auto id = home_at("e1");
+    submit(*entries["e1"], make(id, 1));
+    run(absl::Milliseconds(50));
+    ASSERT_EQ(agents["a1"]->starts_of(id), 1);
+    const auto epoch = keeper.epochs["e2"];
+    entries["e2"]->kill();
+    keeper.fence(epoch);
+    run(absl::Milliseconds(1500));
+    const auto copy = submit(*entries["e1"], make(id, 1));
+    const auto fresh = submit(*entries["e1"], make(id_with_home("e1", "f", {"e1"}), 1));
+    run(absl::Milliseconds(500));
+    ASSERT_TRUE(entries["e1"]->has(fresh));
+    EXPECT_EQ(entries["e1"]->kind_of(fresh), error_kind::draining);
+    agents["a1"]->end_task(id, 0);
+    run(absl::Seconds(2));
+    ASSERT_TRUE(entries["e1"]->has(copy));
+    EXPECT_NE(entries["e1"]->answers[copy].not_run(), schema::not_run_true);
+    EXPECT_EQ(agents["a1"]->starts_of(id), 1);
+    EXPECT_FALSE(entries["e1"]->has(running));
+}
+
 // Guards against a second start of what a dead entry has started, and against tasks that are never
 // started because it died.
 TEST_F(entry_cluster_test, takeover_adopts_ended_awaits_running_and_starts_the_rest)
