Measure the one-way delay to data centres from hello round trips

Cause: placement::set_one_way_delay was never called, so locality had no effect. Agents report the shortest of their last 8 hello round trips; the entry sets the delay of a data centre to half of the shortest one of its live agents.

Conclusion: starts go to the near data centre among equal endpoints.

--- a/savoryreach/agent/agent_core.cpp
+++ b/savoryreach/agent/agent_core.cpp
@@ -198,6 +198,7 @@
     {
         return;
     }
+    asked->add_round_trip(ports.clock.now() - *sent_at);
     if (*sent_at >= drain_began)
     {
         asked->confirm_drain();
@@ -343,6 +344,8 @@
     hello.set_draining(is_draining);
     hello.set_config_revision(views.config_revision());
     *hello.mutable_kinds() = settings.kinds();
+    hello.set_round_trip_us(
+        static_cast<std::uint32_t>(absl::ToInt64Microseconds(session.shortest_round_trip())));
     runner.counters().write(hello);
     session.hello_sent(last_request_id, ports.clock.now());
     ports.transport.send(session.entry(), std::move(message));
--- a/savoryreach/agent/entry_session.cpp
+++ b/savoryreach/agent/entry_session.cpp
@@ -12,6 +12,8 @@
 constexpr absl::Duration hello_interval = absl::Milliseconds(500);
 /// A lease counted from an older hello has expired anyway.
 constexpr absl::Duration hello_memory = absl::Seconds(10);
+/// Covers 4 s, so that a changed route is noticed and a short burst of load is not.
+constexpr std::size_t round_trips_kept = 8;
 
 } // namespace
 
@@ -39,6 +41,20 @@
     return it == hello_times_.end() ? std::nullopt : std::optional(it->second);
 }
 
+void entry_session::add_round_trip(absl::Duration time)
+{
+    round_trips_.push_back(time);
+    if (round_trips_.size() > round_trips_kept)
+    {
+        round_trips_.pop_front();
+    }
+}
+
+absl::Duration entry_session::shortest_round_trip() const
+{
+    return round_trips_.empty() ? absl::ZeroDuration() : *std::ranges::min_element(round_trips_);
+}
+
 bool entry_session::extend_lease(absl::Time until, absl::Time now)
 {
     if (phase_ == phase::closed)
--- a/savoryreach/agent/entry_session.hpp
+++ b/savoryreach/agent/entry_session.hpp
@@ -8,6 +8,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace savoryreach::agent
@@ -33,6 +34,11 @@
     /// When the hello \p request_id was sent; nullopt for an unknown or far too old one.
     [[nodiscard]] std::optional<absl::Time> hello_time(std::uint64_t request_id) const;
 
+    /// Takes the time between a hello and its reply.
+    void add_round_trip(absl::Duration time);
+    /// Shortest of the last round trips; zero when none is known.
+    [[nodiscard]] absl::Duration shortest_round_trip() const;
+
     /// Makes the next hello due at once.
     void hasten_hello() { hello_at_ = absl::InfinitePast(); }
     /// The entry has answered a hello that announced the drain.
@@ -62,6 +68,7 @@
     bool is_drain_confirmed_ = false;
     absl::Time hello_at_ = absl::InfinitePast();             ///< next hello
     absl::btree_map<std::uint64_t, absl::Time> hello_times_; ///< by request id, recent ones
+    std::deque<absl::Duration> round_trips_;                 ///< of the last hellos
 };
 
 } // namespace savoryreach::agent
--- a/savoryreach/entry/agent_table.cpp
+++ b/savoryreach/entry/agent_table.cpp
@@ -25,6 +25,7 @@
     wake_ups_.clear();
     recalls_.clear();
     demand_.clear();
+    delays_.clear();
     current_.clear();
     links_.clear();
     live_ = 0;
@@ -62,6 +63,15 @@
     }
 }
 
+void agent_table::set_delay(const agent_link& link, absl::Duration round_trip)
+{
+    const auto& name = link.facts.data_centre;
+    if (const auto delay = delays_.set(name, link.number, round_trip))
+    {
+        endpoints_.set_one_way_delay(name, *delay);
+    }
+}
+
 void agent_table::count_kinds(const agent_link& link, int change)
 {
     const auto& kinds = link.facts.kinds;
@@ -122,6 +132,7 @@
     link.is_superseded = true;
     live_ -= link.phase == link_phase::live ? 1 : 0;
     count_kinds(link, -1);
+    set_delay(link, absl::ZeroDuration());
     endpoints_.endpoint_left(link.life.name);
     demand_.update(link);
     if (link.phase == link_phase::lost)
@@ -167,6 +178,7 @@
     {
         demand_.remove(link);
         count_kinds(link, -1);
+        set_delay(link, absl::ZeroDuration());
         link.facts = std::move(facts);
         count_kinds(link, 1);
         if (link.phase != link_phase::lost)
@@ -174,6 +186,7 @@
             endpoints_.endpoint_joined(link.facts);
         }
     }
+    set_delay(link, absl::Microseconds(message.round_trip_us()));
     link.is_draining = message.draining();
     link.config_revision = message.config_revision();
     for (const auto& it : message.counters())
@@ -278,6 +291,7 @@
     live_ -= was_live ? 1 : 0;
     if (phase == link_phase::lost)
     {
+        set_delay(link, absl::ZeroDuration());
         endpoints_.endpoint_left(link.life.name);
     }
     else if (was_lost)
--- a/savoryreach/entry/agent_table.hpp
+++ b/savoryreach/entry/agent_table.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_ENTRY_AGENT_TABLE_HPP
 
 #include "savoryreach/entry/agent_link.hpp"
+#include "savoryreach/entry/delay_table.hpp"
 #include "savoryreach/entry/demand_watch.hpp"
 #include "savoryreach/entry/entry_context.hpp"
 #include "savoryreach/entry/link_timers.hpp"
@@ -89,6 +90,7 @@
     void erase(agent_link& link);
     void set_timer(agent_link& link);
     void mark(agent_link& link);
+    void set_delay(const agent_link& link, absl::Duration round_trip);
     void count_kinds(const agent_link& link, int change);
     void learn(agent_link& link, const schema::agent_hello& message);
     void reply(agent_link& link, const schema::agent_hello& message);
@@ -115,6 +117,7 @@
     link_timers recalls_{&agent_link::recall_at}; ///< of the dispatcher
     demand_watch demand_;                         ///< agents that may need a report
     absl::Time demand_at_ = absl::InfinitePast(); ///< next look at the demand
+    delay_table delays_;                          ///< to the data centres
     std::uint64_t last_number_ = 0;               ///< numbers of the links continue from here
     std::size_t live_ = 0;                        ///< current links in phase live
     std::size_t accept_all_ = 0;                  ///< current links that accept every kind
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -10,6 +10,7 @@
   entry/agent_table.cpp
   entry/answers.cpp
   entry/claim_client.cpp
+  entry/delay_table.cpp
   entry/demand_watch.cpp
   entry/dispatcher.cpp
   entry/entry_core.cpp
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -57,6 +57,31 @@
     scripted_entry* entry_ = nullptr;
 };
 
+// Guards against a reported round trip that is the latest one, of all times, or not measured.
+TEST_F(agent_core_test, hello_reports_the_shortest_of_the_last_round_trips)
+{
+    const auto set_one_way = [this](int ms)
+    {
+        cluster_.network.faults().min_delay = absl::Milliseconds(ms);
+        cluster_.network.faults().max_delay = absl::Milliseconds(ms);
+    };
+    const auto reported = [this]
+    {
+        return entry_->hellos.back().round_trip_us();
+    };
+    EXPECT_EQ(entry_->hellos.front().round_trip_us(), 0u);
+    set_one_way(10);
+    cluster_.run_for(absl::Seconds(2));
+    EXPECT_GT(reported(), 0u);
+    EXPECT_LT(reported(), 20'000u);
+    cluster_.run_for(absl::Seconds(5));
+    EXPECT_GE(reported(), 20'000u);
+    EXPECT_LT(reported(), 23'000u);
+    set_one_way(50);
+    cluster_.run_for(absl::Seconds(2));
+    EXPECT_LT(reported(), 23'000u);
+}
+
 // Guards against a break anywhere on the way from registration to the result of a task.
 TEST_F(agent_core_test, registered_agent_runs_a_start_and_reports_its_result)
 {
--- a/tests/entry/entry_agent_test.cpp
+++ b/tests/entry/entry_agent_test.cpp
@@ -210,6 +210,35 @@
     }
 }
 
+// Guards against a far data centre that counts as near, and against one slow round trip or a lost
+// agent that decides the delay of a data centre.
+TEST_F(entry_agent_test, starts_go_to_the_data_centre_with_the_shortest_round_trip)
+{
+    auto& entry = start_one();
+    for (const auto* name : {"a2", "a3", "a4"})
+    {
+        add_agent(name);
+    }
+    const auto place = [this](const std::string& name, const std::string& centre, int round_trip_ms)
+    {
+        agents[name]->data_centre = centre;
+        agents[name]->round_trip_us = static_cast<std::uint32_t>(round_trip_ms) * 1000;
+    };
+    place("a1", "Koper", 40);
+    place("a2", "Koper", 30);
+    place("a3", "Maribor", 900);
+    place("a4", "Maribor", 2);
+    run(absl::Seconds(1));
+    submit(entry, make("near", 4));
+    run(absl::Milliseconds(200));
+    EXPECT_EQ(agents["a3"]->starts_of("near") + agents["a4"]->starts_of("near"), 4);
+    agents["a4"]->stop();
+    run(absl::Seconds(8));
+    submit(entry, make("moved", 4));
+    run(absl::Milliseconds(200));
+    EXPECT_EQ(agents["a1"]->starts_of("moved") + agents["a2"]->starts_of("moved"), 4);
+}
+
 // Guards against a session lease that outlives the entry's own lease.
 TEST_F(entry_agent_test, session_lease_ends_no_later_than_the_entry_lease)
 {
--- a/tests/entry/fake_agent.cpp
+++ b/tests/entry/fake_agent.cpp
@@ -43,6 +43,8 @@
             hello.set_slots(4);
             hello.set_request_id(++hellos_);
             hello.set_draining(is_draining);
+            hello.set_data_centre(data_centre);
+            hello.set_round_trip_us(round_trip_us);
             transport_->send(base::node_name(entry), std::move(message));
         }
     }
--- a/tests/entry/fake_agent.hpp
+++ b/tests/entry/fake_agent.hpp
@@ -47,6 +47,8 @@
     absl::Duration run_time = absl::Milliseconds(10);
     std::uint32_t credit = 1000;
     bool is_draining = false;
+    std::string data_centre;
+    std::uint32_t round_trip_us = 0; ///< as reported
     bool answers_inquiries = true;
     std::vector<start> starts;                   ///< all starts received
     std::vector<std::string> released;           ///< submissions released
