--- a/tests/simulation/fault_plan.cpp
+++ b/tests/simulation/fault_plan.cpp
@@ -157,7 +157,7 @@
     {
         (cluster_.random().below(2) == 0 ? here : there).push_back(node);
     }
-    const auto each = [this, here, there](const auto& act)
+    const auto each = [here, there](const auto& act)
     {
         for (const auto& one : here)
         {
