Answer late duplicates of refused requests, and accept bursts of connections

Cause 2: whole_path_test.leading_keeper_killed_under_load failed once with task_failed: the library listens with a backlog of 5, so a burst of connections to the stand-in waited for TCP's retry of 1 s and timed out. The backlog is 4,096 now, and an agent tries a timed-out connection, which has carried nothing, up to three times.

--- a/savoryreach/daemon/http_endpoint.cpp
+++ b/savoryreach/daemon/http_endpoint.cpp
@@ -14,6 +14,9 @@
 using result = agent::run_outcome::result;
 
 constexpr auto connect_timeout = std::chrono::seconds(1);
+/// A connection that times out has carried nothing, so that even a task that must run at most once
+/// may be sent again.
+constexpr int max_connect_attempts = 3;
 
 httplib::Headers headers_of(const agent::run_request& request, absl::Duration limit)
 {
@@ -24,6 +27,11 @@
             {"X-Savoryreach-Run-Limit-Ms", std::to_string(absl::ToInt64Milliseconds(limit))}};
 }
 
+bool is_connect_timeout(const httplib::Result& res)
+{
+    return !res && res.error() == httplib::Error::ConnectionTimeout;
+}
+
 } // namespace
 
 http_endpoint::http_endpoint(std::string ip, int port, std::size_t slots, end_handler on_end)
@@ -124,8 +132,16 @@
         return {result::failed, "", "run limit passed before the run began"};
     }
     client.set_read_timeout(absl::ToChronoMicroseconds(limit));
-    const auto res = client.Post("/run", headers_of(request, limit), request.payload,
-                                 "application/octet-stream");
+    const auto post = [&]
+    {
+        return client.Post("/run", headers_of(request, limit), request.payload,
+                           "application/octet-stream");
+    };
+    auto res = post();
+    for (int n = 1; n < max_connect_attempts && is_connect_timeout(res); ++n)
+    {
+        res = post();
+    }
     if (!res)
     {
         const auto text =
--- a/savoryreach/daemon/http_server.cpp
+++ b/savoryreach/daemon/http_server.cpp
@@ -4,6 +4,7 @@
 #include "savoryreach/net/tcp_transport.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <sys/socket.h>
 
 #include <chrono>
 
@@ -16,6 +17,8 @@
 constexpr int read_timeout_s = 5;
 /// Idle time after which a kept connection is closed.
 constexpr int keep_alive_timeout_s = 30;
+/// Connections that may wait to be accepted; the kernel bounds it further by net.core.somaxconn.
+constexpr int listen_backlog = 4'096;
 constexpr auto in_progress_poll = std::chrono::milliseconds(5);
 
 /// True while the request of this connection's thread is counted. The library logs an answer to an
@@ -35,6 +38,13 @@
     server_.set_keep_alive_timeout(keep_alive_timeout_s);
     server_.set_keep_alive_max_count(SIZE_MAX);
     server_.set_tcp_nodelay(true);
+    server_.set_socket_options(
+        [this](int listening)
+        {
+            listening_ = listening;
+            const int on = 1;
+            ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        });
     server_.set_pre_routing_handler(
         [this](const httplib::Request&, httplib::Response&)
         {
@@ -81,6 +91,9 @@
         return base::reason{base::error_kind::unreachable,
                             absl::StrCat("cannot listen for HTTP on ", address)};
     }
+    // The library's own backlog of 5 drops the connections of a burst, which then wait 1 s for TCP
+    // to try again. Listening once more on the same socket only changes the backlog.
+    ::listen(listening_, listen_backlog);
     thread_ = std::thread([this] { server_.listen_after_bind(); });
     return std::nullopt;
 }
--- a/savoryreach/daemon/http_server.hpp
+++ b/savoryreach/daemon/http_server.hpp
@@ -52,6 +52,7 @@
 private:
     httplib::Server server_;
     health_pages pages_;
+    int listening_ = -1;              ///< the listening socket, owned by server_
     std::atomic<int> in_progress_{0}; ///< requests whose answer is not written yet
     std::thread thread_;
 };
--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -254,6 +254,7 @@
         context.ports.callers.answer(waiter.request_id, answer);
         return;
     }
+    refused.remember(waiter.entry, waiter.request_id, answer, context.now());
     schema::envelope message;
     message.mutable_forward_answer()->set_request_id(waiter.request_id);
     *message.mutable_forward_answer()->mutable_answer() = answer;
@@ -277,6 +278,11 @@
     const job_waiter waiter{from, message.request_id(),
                             context.now() + absl::Milliseconds(message.remaining_ms()),
                             message.respond_now(), message.hops()};
+    if (const auto* answer = refused.find(from, message.request_id(), context.now()))
+    {
+        deliver(waiter, schema::job_answer(*answer));
+        return;
+    }
     if (message.takes_over())
     {
         flow.taken_by_new_home(id);
--- a/savoryreach/entry/entry_state.hpp
+++ b/savoryreach/entry/entry_state.hpp
@@ -13,6 +13,7 @@
 #include "savoryreach/entry/keeper_client.hpp"
 #include "savoryreach/entry/membership.hpp"
 #include "savoryreach/entry/recovery.hpp"
+#include "savoryreach/entry/refused_requests.hpp"
 #include "savoryreach/entry/router.hpp"
 #include "savoryreach/entry/task_results.hpp"
 #include "savoryreach/entry/work_queue.hpp"
@@ -41,22 +42,23 @@
     /// Other entries ask again every 200 ms for an answer that was lost.
     static constexpr absl::Duration linger = absl::Seconds(1);
 
-    entry_context context; ///< settings, ports and counters
-    keeper_client keepers; ///< requests to the keepers
-    router routes;         ///< homes
-    membership members;    ///< epoch, lease, view and configuration
-    job_table jobs;        ///< jobs and refusals
-    work_queue queue;      ///< order of starts
-    placement endpoints;   ///< choice of endpoints
-    retry_budget retries;  ///< bound on retries
-    agent_table agents;    ///< sessions with agents
-    claim_client claims;   ///< claims and finishes
-    dispatcher starts;     ///< sends tasks
-    task_results results;  ///< takes results
-    recovery takeovers;    ///< jobs of dead entries
-    job_policy policy;     ///< configuration and admission
-    job_flow flow;         ///< life of the jobs
-    forwarding forwards;   ///< requests at other homes
+    entry_context context;    ///< settings, ports and counters
+    keeper_client keepers;    ///< requests to the keepers
+    router routes;            ///< homes
+    membership members;       ///< epoch, lease, view and configuration
+    job_table jobs;           ///< jobs and refusals
+    work_queue queue;         ///< order of starts
+    placement endpoints;      ///< choice of endpoints
+    retry_budget retries;     ///< bound on retries
+    agent_table agents;       ///< sessions with agents
+    claim_client claims;      ///< claims and finishes
+    dispatcher starts;        ///< sends tasks
+    task_results results;     ///< takes results
+    recovery takeovers;       ///< jobs of dead entries
+    job_policy policy;        ///< configuration and admission
+    job_flow flow;            ///< life of the jobs
+    forwarding forwards;      ///< requests at other homes
+    refused_requests refused; ///< answered requests of other entries
 
 private:
     [[nodiscard]] membership::hooks membership_hooks();
--- /dev/null
+++ b/savoryreach/entry/refused_requests.cpp
@@ -0,0 +1,38 @@
+#include "savoryreach/entry/refused_requests.hpp"
+
+namespace savoryreach::entry
+{
+
+void refused_requests::remember(const base::node_name& from, std::uint64_t request_id,
+                                const schema::job_answer& answer, absl::Time now)
+{
+    expire(now);
+    if (answer.state() != schema::job_state_failed || answer.not_run() != schema::not_run_true)
+    {
+        return;
+    }
+    const key id{from, request_id};
+    if (answers_.try_emplace(id, answer).second)
+    {
+        order_.emplace_back(now + longest_delay, id);
+    }
+}
+
+const schema::job_answer* refused_requests::find(const base::node_name& from,
+                                                 std::uint64_t request_id, absl::Time now)
+{
+    expire(now);
+    const auto it = answers_.find(key{from, request_id});
+    return it == answers_.end() ? nullptr : &it->second;
+}
+
+void refused_requests::expire(absl::Time now)
+{
+    while (!order_.empty() && (order_.front().first <= now || order_.size() > max_requests))
+    {
+        answers_.erase(order_.front().second);
+        order_.pop_front();
+    }
+}
+
+} // namespace savoryreach::entry
--- a/savoryreach/entry/sources.cmake
+++ b/savoryreach/entry/sources.cmake
@@ -29,6 +29,7 @@
   entry/membership.cpp
   entry/recent_demand.cpp
   entry/recovery.cpp
+  entry/refused_requests.cpp
   entry/router.cpp
   entry/takeover.cpp
   entry/task_results.cpp
--- a/tests/entry/sources.cmake
+++ b/tests/entry/sources.cmake
@@ -6,5 +6,6 @@
   entry/entry_submission_test.cpp
   entry/fake_agent.cpp
   entry/fake_keeper.cpp
+  entry/refused_requests_test.cpp
   entry/router_test.cpp)
 include(entry/policy_sources.cmake)
--- a/tests/simulation/randomised_run_main.cpp
+++ b/tests/simulation/randomised_run_main.cpp
@@ -14,6 +14,10 @@
 DEFINE_string(filter, "", "With --verbose: print only events whose line contains this text");
 DEFINE_bool(twice, false, "Run each seed twice and compare the state hashes");
 // NOLINTNEXTLINE(readability-identifier-naming)
+DEFINE_string(
+    expect, "",
+    "With --break: the invariant that must be violated; seeds in which the fault violates "
+    "another one first are passed over");
 DEFINE_string(break, "", "Deliberate fault that the run must detect; see breakage.hpp");
 
 namespace savoryreach::simulation
@@ -32,6 +36,13 @@
     std::_Exit(1);
 }
 
+/// True when the violation is the one that --expect names, or any when it names none.
+bool is_expected(const std::string& what)
+{
+    return FLAGS_expect.empty() ||
+           what.find("invariant=" + FLAGS_expect + " ") != std::string::npos;
+}
+
 bool run_seed(std::uint64_t seed, breakage broken, std::uint64_t& hash)
 {
     randomised_run run(seed, broken);
@@ -47,6 +58,11 @@
     }
     catch (const violation& what)
     {
+        if (!is_expected(what.what()))
+        {
+            std::cout << "seed=" << seed << " passed over: " << what.what() << '\n';
+            return true;
+        }
         run.journal().dump(std::cerr);
         std::cerr << "VIOLATION seed=" << seed << " events=" << FLAGS_events << ' ' << what.what()
                   << '\n';
--- a/tests/simulation/sources.cmake
+++ b/tests/simulation/sources.cmake
@@ -22,6 +22,9 @@
   add_test(NAME randomised_run.seeds_from_${first}
     COMMAND randomised_run --seed ${first} --seeds 10 --events 60000)
 endforeach()
+# Guards against a late duplicate of a forwarded request that runs after its refusal.
+add_test(NAME randomised_run.late_duplicate_of_a_refused_request
+  COMMAND randomised_run --seed 2224 --events 100000)
 # Guards against a source of chance outside of the seed.
 add_test(NAME randomised_run.equal_seed_equal_hash
   COMMAND randomised_run --seed 7 --events 60000 --twice)
@@ -30,7 +33,8 @@
 # covers it. Whether a fault has its occasion depends on the seed, so seeds are tried until one has.
 function(randomised_run_break name seed invariant)
   add_test(NAME randomised_run.break_${name}
-    COMMAND randomised_run --seed ${seed} --seeds 40 --events 60000 --break ${name})
+    COMMAND randomised_run --seed ${seed} --seeds 40 --events 60000 --break ${name}
+            --expect ${invariant})
   set_tests_properties(randomised_run.break_${name} PROPERTIES
     PASS_REGULAR_EXPRESSION "VIOLATION [^\n]*invariant=${invariant} " TIMEOUT 120)
 endfunction()
