Give no answer that the ledger does not know of without a lease

Cause: an isolated entry still gave its retained answer while its successor, which can't know it, ended the job differently.

--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -70,8 +70,14 @@
 
 bool job_flow::knows(const std::string& submission_id)
 {
-    return jobs_.find(submission_id) != nullptr ||
-           jobs_.refusal_of(submission_id, context_.now()) != nullptr;
+    const auto* it = jobs_.find(submission_id);
+    if (it != nullptr)
+    {
+        // Without a lease and before the ledger knows of the end, a successor may end the job too,
+        // and two copies would get different answers.
+        return !it->is_finish_due || of_.shared.members.has_lease();
+    }
+    return jobs_.refusal_of(submission_id, context_.now()) != nullptr;
 }
 
 void job_flow::submit(schema::submission submission, const job_waiter& waiter)
--- a/savoryreach/entry/job_flow.hpp
+++ b/savoryreach/entry/job_flow.hpp
@@ -46,7 +46,7 @@
 
     /// A copy of a submission has arrived at its home.
     void submit(schema::submission submission, const job_waiter& waiter);
-    /// True when this entry has a job or a refusal in force for the submission.
+    /// True when this entry has a job or a refusal for the submission and may answer from it.
     [[nodiscard]] bool knows(const std::string& submission_id);
     void lookup(const std::string& submission_id, const job_waiter& waiter);
     void cancel(const std::string& submission_id, const job_waiter& waiter);
--- a/tests/agent/scripted_cluster.cpp
+++ b/tests/agent/scripted_cluster.cpp
@@ -193,7 +193,7 @@
     network.send(asker.name, agent_name, std::move(message));
 }
 
-void scripted_cluster::end_run(std::size_t run, run_outcome outcome)
+void scripted_cluster::end_run(std::size_t run, const run_outcome& outcome)
 {
     agent->run_ended(endpoint.runs.at(run).run_id, outcome);
 }
--- a/tests/agent/scripted_cluster.hpp
+++ b/tests/agent/scripted_cluster.hpp
@@ -83,7 +83,7 @@
     void send_recall(scripted_entry& entry, const std::string& submission, std::uint32_t task);
     void send_inquiry(const scripted_entry& asker, std::uint64_t dead_epoch);
     void end_run(std::size_t run,
-                 run_outcome outcome = {run_outcome::result::succeeded, "out", ""});
+                 const run_outcome& outcome = {run_outcome::result::succeeded, "out", ""});
 
     /// Runs everything for a time in steps of 1 ms.
     void run_for(absl::Duration time);
--- a/tests/entry/entry_agent_test.cpp
+++ b/tests/entry/entry_agent_test.cpp
@@ -188,10 +188,10 @@
     network.faults().duplication = 0.2;
     network.faults().long_delay = 0.1;
     network.faults().max_long_delay = absl::Milliseconds(100);
-    std::vector<std::uint64_t> requests;
-    for (int n = 0; n < 10; ++n)
+    std::vector<std::uint64_t> requests(10);
+    for (std::size_t n = 0; n < requests.size(); ++n)
     {
-        requests.push_back(submit(entry, make("s" + std::to_string(n), 10), absl::Seconds(60)));
+        requests[n] = submit(entry, make("s" + std::to_string(n), 10), absl::Seconds(60));
     }
     run(absl::Seconds(15));
     for (const auto request : requests)
--- a/tests/entry/entry_cluster_test.cpp
+++ b/tests/entry/entry_cluster_test.cpp
@@ -355,11 +355,11 @@
     run(absl::Milliseconds(100));
     fence_first();
     run(absl::Milliseconds(1100));
-    std::vector<std::uint64_t> copies;
-    for (int n = 0; n < 5; ++n)
+    std::vector<std::uint64_t> copies(5);
+    for (std::size_t n = 0; n < copies.size(); ++n)
     {
-        copies.push_back(submit(
-            *entries["e2"], make(id_with_home("e1", "t" + std::to_string(n), {"e1", "e2"}), 1)));
+        copies[n] = submit(*entries["e2"],
+                           make(id_with_home("e1", "t" + std::to_string(n), {"e1", "e2"}), 1));
     }
     run(absl::Milliseconds(200));
     for (const auto copy : copies)
@@ -393,6 +393,27 @@
     EXPECT_TRUE(entry.core->is_ready());
 }
 
+// Guards against an isolated entry that gives an answer of its own while its successor gives
+// another.
+TEST_F(entry_cluster_test, answer_unknown_to_the_ledger_is_not_given_without_lease)
+{
+    auto& entry = start_one();
+    keeper.answers_finishes = false;
+    const auto first = submit(entry, make("s", 1));
+    run(absl::Milliseconds(200));
+    ASSERT_EQ(entry.answers[first].state(), schema::job_state_complete);
+    keeper.is_silent = true;
+    run(absl::Seconds(4));
+    const auto copy = submit(entry, make("s", 1));
+    EXPECT_EQ(entry.kind_of(copy), error_kind::not_ready);
+    EXPECT_EQ(entry.answers[copy].not_run(), schema::not_run_unknown);
+    keeper.is_silent = false;
+    keeper.answers_finishes = true;
+    run(absl::Seconds(3));
+    const auto later = submit(entry, make("s", 1));
+    EXPECT_EQ(entry.answers[later].state(), schema::job_state_complete);
+}
+
 // Guards against an entry that goes on under a fenced epoch.
 TEST_F(entry_cluster_test, fenced_entry_answers_its_callers_and_joins_again)
 {
--- a/tests/processes/process_cluster.cpp
+++ b/tests/processes/process_cluster.cpp
@@ -35,6 +35,7 @@
 pid_t spawn(const std::vector<std::string>& arguments, const std::string& output)
 {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto& it : arguments)
     {
         argv.push_back(const_cast<char*>(it.c_str()));
--- a/tests/processes/whole_path_test.cpp
+++ b/tests/processes/whole_path_test.cpp
@@ -26,6 +26,7 @@
         std::mutex mutex;
         std::map<std::string, caller_answer> answers;
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int caller = 0; caller < callers; ++caller)
         {
             threads.emplace_back(
@@ -80,6 +81,7 @@
     const auto job = make_job("swan-lake", 8, 100);
     std::vector<caller_answer> answers(copies);
     std::vector<std::thread> threads;
+    threads.reserve(copies);
     for (int n = 0; n < copies; ++n)
     {
         threads.emplace_back(
