--- a/savoryreach/entry/forwarding.cpp
+++ b/savoryreach/entry/forwarding.cpp
@@ -8,6 +8,13 @@
 
 namespace savoryreach::entry
 {
+namespace
+{
+
+/// Far enough for the longest interval, and no overflow of the shift.
+constexpr std::uint32_t max_doublings = 8;
+
+} // namespace
 
 forwarding::forwarding(entry_context& context, membership& members, router& routes, hooks call)
     : context_(context), members_(members), routes_(routes), call_(std::move(call)),
@@ -48,7 +55,8 @@
 void forwarding::send(std::uint64_t id, pending& it)
 {
     const auto now = context_.now();
-    it.send_at = now + resend_interval;
+    const auto interval = resend_interval * (1U << std::min(it.sendings++, max_doublings));
+    it.send_at = now + std::min(interval, longest_resend_interval);
     schema::envelope message;
     if (it.request.kind == request_kind::cancel)
     {
@@ -116,6 +124,7 @@
     }
     it.home = owner;
     it.is_owner = true;
+    it.sendings = 0;
     send(found->first, it);
 }
 
@@ -139,12 +148,31 @@
         call_.handle_here(std::move(request));
         return false;
     }
+    if (it.home != home->name)
+    {
+        it.sendings = 0;
+    }
     it.home = home->name;
     return true;
 }
 
+void forwarding::send_all_after_change()
+{
+    if (membership_revision_ == members_.membership_revision())
+    {
+        return;
+    }
+    membership_revision_ = members_.membership_revision();
+    for (auto& [id, it] : requests_)
+    {
+        it.send_at = context_.now();
+        it.sendings = 0;
+    }
+}
+
 void forwarding::tick()
 {
+    send_all_after_change();
     const auto now = context_.now();
     std::vector<std::uint64_t> due;
     for (const auto& [id, it] : requests_)
--- a/savoryreach/entry/forwarding.hpp
+++ b/savoryreach/entry/forwarding.hpp
@@ -61,6 +61,9 @@
     /// decides then, and not one more view of the membership.
     static constexpr std::uint32_t hops_to_owner = 2;
     static constexpr absl::Duration resend_interval = absl::Milliseconds(200);
+    /// The interval doubles up to this: a resend carries the whole submission, and most resends
+    /// meet a job that runs. A change of the membership sends all requests again at once.
+    static constexpr absl::Duration longest_resend_interval = absl::Seconds(2);
     /// Kept from the remaining time, so that the home's answer arrives before the deadline here.
     static constexpr absl::Duration return_time = absl::Milliseconds(20);
 
@@ -71,22 +74,25 @@
         base::node_name home;
         bool is_owner = false;
         absl::Time send_at;
+        std::uint32_t sendings = 0; ///< to this home, for the interval
     };
     using request_map = absl::btree_map<std::uint64_t, pending>;
 
     void send(std::uint64_t id, pending& it);
     void redirect(request_map::iterator found, const base::node_name& owner,
                   std::uint32_t least_hops);
+    void send_all_after_change();
     /// False when the request is now handled here.
     bool choose_home(request_map::iterator found);
     void erase(request_map::iterator found);
 
-    entry_context& context_; ///< ports
-    membership& members_;    ///< live entries
-    router& routes_;         ///< homes
-    hooks call_;             ///< receives answers
-    std::uint64_t last_id_;  ///< request ids continue from here
-    request_map requests_;   ///< by request id
+    entry_context& context_;                ///< ports
+    membership& members_;                   ///< live entries
+    router& routes_;                        ///< homes
+    hooks call_;                            ///< receives answers
+    std::uint64_t last_id_;                 ///< request ids continue from here
+    std::uint64_t membership_revision_ = 0; ///< for which the homes were chosen
+    request_map requests_;                  ///< by request id
     absl::flat_hash_map<std::uint64_t, std::uint64_t> by_caller_; ///< caller's request id
 };
 
