--- a/savoryreach/keeper/sources.cmake
+++ b/savoryreach/keeper/sources.cmake
@@ -8,6 +8,7 @@
   keeper/keeper_members.cpp
   keeper/keeper_core.cpp
   keeper/keeper_service.cpp
+  keeper/keeper_service_requests.cpp
   keeper/lease_table.cpp
   keeper/ledger.cpp
   keeper/replicated_log.cpp
