--- a/savoryreach/entry/agent_link.hpp
+++ b/savoryreach/entry/agent_link.hpp
@@ -73,8 +73,8 @@
     absl::Time wake_at = absl::InfiniteFuture();   ///< timer of the table
     absl::Time recall_at = absl::InfiniteFuture(); ///< timer of the dispatcher
     std::uint32_t watched_demand = 0;              ///< as demand_watch has sorted it in
-    bool watched_as_starved = false;               ///< as demand_watch has sorted it in
-    bool watched_as_told = false;                  ///< as demand_watch has sorted it in
+    bool watched_without_credit = false;           ///< as demand_watch has sorted it in
+    bool watched_with_demand = false;              ///< as demand_watch has sorted it in
     absl::btree_map<task_key, std::uint32_t> in_flight; ///< attempt numbers
 };
 
--- a/savoryreach/entry/demand_watch.cpp
+++ b/savoryreach/entry/demand_watch.cpp
@@ -7,9 +7,10 @@
 {
     const bool is_usable =
         link.phase == link_phase::live && !link.is_draining && !link.is_superseded;
-    const bool is_starved = is_usable && link.credit() == 0;
-    const bool is_told = link.phase == link_phase::live && link.reported_demand > 0;
-    const bool is_same = link.watched_as_starved == is_starved && link.watched_as_told == is_told &&
+    const bool has_no_credit = is_usable && link.credit() == 0;
+    const bool knows_demand = link.phase == link_phase::live && link.reported_demand > 0;
+    const bool is_same = link.watched_without_credit == has_no_credit &&
+                         link.watched_with_demand == knows_demand &&
                          link.watched_demand == link.reported_demand;
     if (is_same)
     {
@@ -17,19 +18,19 @@
     }
     remove(link);
     link.watched_demand = link.reported_demand;
-    link.watched_as_starved = is_starved;
-    link.watched_as_told = is_told;
+    link.watched_without_credit = has_no_credit;
+    link.watched_with_demand = knows_demand;
     const key entry{link.watched_demand, link.number, &link};
-    if (is_starved)
+    if (has_no_credit)
     {
-        starved_.insert(entry);
+        without_credit_.insert(entry);
     }
-    if (is_told)
+    if (knows_demand)
     {
-        told_.insert(entry);
+        with_demand_.insert(entry);
         if (!link.facts.kinds.empty())
         {
-            told_of_some_.insert(entry);
+            with_demand_of_some_kinds_.insert(entry);
         }
     }
 }
@@ -37,17 +38,17 @@
 void demand_watch::remove(agent_link& link)
 {
     const key entry{link.watched_demand, link.number, &link};
-    starved_.erase(entry);
-    told_.erase(entry);
-    told_of_some_.erase(entry);
-    link.watched_as_starved = false;
-    link.watched_as_told = false;
+    without_credit_.erase(entry);
+    with_demand_.erase(entry);
+    with_demand_of_some_kinds_.erase(entry);
+    link.watched_without_credit = false;
+    link.watched_with_demand = false;
 }
 
 std::vector<agent_link*> demand_watch::candidates(std::size_t waiting) const
 {
     std::vector<agent_link*> links;
-    for (const auto& [known, number, link] : starved_)
+    for (const auto& [known, number, link] : without_credit_)
     {
         if (!is_far_above(waiting, known))
         {
@@ -55,7 +56,8 @@
         }
         links.push_back(link);
     }
-    for (const auto& [known, number, link] : waiting == 0 ? told_ : told_of_some_)
+    for (const auto& [known, number, link] :
+         waiting == 0 ? with_demand_ : with_demand_of_some_kinds_)
     {
         links.push_back(link);
     }
@@ -64,9 +66,9 @@
 
 void demand_watch::clear()
 {
-    starved_.clear();
-    told_.clear();
-    told_of_some_.clear();
+    without_credit_.clear();
+    with_demand_.clear();
+    with_demand_of_some_kinds_.clear();
 }
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/demand_watch.hpp
+++ b/savoryreach/entry/demand_watch.hpp
@@ -35,9 +35,10 @@
     /// Reported demand and the number of the link, which makes the order the same in each run.
     using key = std::tuple<std::uint32_t, std::uint64_t, agent_link*>;
 
-    absl::btree_set<key> starved_;      ///< live links without credit
-    absl::btree_set<key> told_;         ///< links that know of demand
-    absl::btree_set<key> told_of_some_; ///< those of told_ that accept some kinds only
+    absl::btree_set<key> without_credit_; ///< live links without credit
+    absl::btree_set<key> with_demand_;    ///< links that know of demand
+    absl::btree_set<key>
+        with_demand_of_some_kinds_; ///< those of with_demand_ that accept some kinds only
 };
 
 } // namespace savoryreach::entry
--- a/savoryreach/entry/job_flow_claims.cpp
+++ b/savoryreach/entry/job_flow_claims.cpp
@@ -136,7 +136,7 @@
 void job_flow::begin(job& it)
 {
     const auto now = context_.now();
-    waiters_.answer_impatient(it);
+    waiters_.answer_state_requests(it);
     if (!it.has_asked && former_.ask(it.number, it.id()))
     {
         it.phase = job_phase::asking;
--- a/savoryreach/entry/job_waiters.cpp
+++ b/savoryreach/entry/job_waiters.cpp
@@ -94,7 +94,7 @@
     }
 }
 
-void job_waiters::answer_impatient(job& it)
+void job_waiters::answer_state_requests(job& it)
 {
     answer_if(it, [](const job_waiter& waiter) { return waiter.respond_now; });
 }
--- a/savoryreach/entry/job_waiters.hpp
+++ b/savoryreach/entry/job_waiters.hpp
@@ -30,7 +30,7 @@
     void answer(const job_waiter& waiter, const schema::job_answer& answer);
     void answer_all(job& it, const schema::job_answer& answer);
     /// Answers `running` to those that don't wait for the end.
-    void answer_impatient(job& it);
+    void answer_state_requests(job& it);
     /// Answers `running` to those whose deadline has passed.
     void answer_overdue(job& it, absl::Time now);
     /// Removes all waiters without an answer.
--- a/tests/net/session_test.cpp
+++ b/tests/net/session_test.cpp
@@ -144,8 +144,8 @@
     EXPECT_LE(network_->sent(), 2 * 1000 + 4u);
 }
 
-// Guards against an unhurried item that gets a frame of its own, is overtaken or is never sent.
-TEST_F(session_test, unhurried_item_rides_along_or_leaves_by_its_deadline)
+// Guards against a deferred item that gets a frame of its own, is overtaken or is never sent.
+TEST_F(session_test, deferred_item_joins_a_frame_or_leaves_by_its_deadline)
 {
     connect(1);
     schema::session_item item;
