Repeat a refused request's answer with the time left, and claim nothing afterwards

Cause: the answer kept for late duplicates still gave the whole retry time, and 'not run' after the retry deadline, when a new copy may run already.

--- a/savoryreach/entry/entry_state.cpp
+++ b/savoryreach/entry/entry_state.cpp
@@ -278,9 +278,9 @@
     const job_waiter waiter{from, message.request_id(),
                             context.now() + absl::Milliseconds(message.remaining_ms()),
                             message.respond_now(), message.hops()};
-    if (const auto* answer = refused.find(from, message.request_id(), context.now()))
+    if (const auto answer = refused.find(from, message.request_id(), context.now()))
     {
-        deliver(waiter, schema::job_answer(*answer));
+        deliver(waiter, *answer);
         return;
     }
     if (message.takes_over())
--- a/savoryreach/entry/refused_requests.cpp
+++ b/savoryreach/entry/refused_requests.cpp
@@ -12,18 +12,33 @@
         return;
     }
     const key id{from, request_id};
-    if (answers_.try_emplace(id, answer).second)
+    const auto retry_at = now + absl::Milliseconds(answer.retry_after_ms());
+    if (answers_.try_emplace(id, refused_answer{answer, retry_at}).second)
     {
         order_.emplace_back(now + longest_delay, id);
     }
 }
 
-const schema::job_answer* refused_requests::find(const base::node_name& from,
-                                                 std::uint64_t request_id, absl::Time now)
+std::optional<schema::job_answer> refused_requests::find(const base::node_name& from,
+                                                         std::uint64_t request_id, absl::Time now)
 {
     expire(now);
     const auto it = answers_.find(key{from, request_id});
-    return it == answers_.end() ? nullptr : &it->second;
+    if (it == answers_.end())
+    {
+        return std::nullopt;
+    }
+    auto answer = it->second.answer;
+    if (now < it->second.retry_at)
+    {
+        answer.set_retry_after_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(
+            absl::Ceil(it->second.retry_at - now, absl::Milliseconds(1)))));
+    }
+    else
+    {
+        answer.set_not_run(schema::not_run_unknown);
+    }
+    return answer;
 }
 
 void refused_requests::expire(absl::Time now)
--- a/savoryreach/entry/refused_requests.hpp
+++ b/savoryreach/entry/refused_requests.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <utility>
 
 namespace savoryreach::entry
@@ -25,9 +26,11 @@
     void remember(const base::node_name& from, std::uint64_t request_id,
                   const schema::job_answer& answer, absl::Time now);
 
-    /// The answer of an earlier arrival of the same request; nullptr when there is none.
-    [[nodiscard]] const schema::job_answer* find(const base::node_name& from,
-                                                 std::uint64_t request_id, absl::Time now);
+    /// What to answer to another arrival of the same request; nullopt when none was remembered.
+    /// Until the refusal's retry deadline that is the refusal with the time that is left.
+    /// Afterwards a new copy may run, so that nothing is claimed any more.
+    [[nodiscard]] std::optional<schema::job_answer> find(const base::node_name& from,
+                                                         std::uint64_t request_id, absl::Time now);
 
     /// A connection that is silent for 2 s is closed with all it holds, so no message is delayed
     /// for longer than a few seconds.
@@ -38,9 +41,15 @@
 private:
     using key = std::pair<base::node_name, std::uint64_t>;
 
+    struct refused_answer
+    {
+        schema::job_answer answer;
+        absl::Time retry_at; ///< a copy that arrives from then on is a new try
+    };
+
     void expire(absl::Time now);
 
-    absl::flat_hash_map<key, schema::job_answer> answers_;
+    absl::flat_hash_map<key, refused_answer> answers_;
     std::deque<std::pair<absl::Time, key>> order_; ///< deadlines of answers_, ascending
 };
 
