Round retry times in one place

Found on reading the change again: answers, job_flow and refused_requests each rounded the retry time up to whole milliseconds. set_retry_after does it for all three.

--- a/savoryreach/entry/answers.cpp
+++ b/savoryreach/entry/answers.cpp
@@ -51,9 +51,7 @@
     answer.set_error_kind(static_cast<std::uint32_t>(why.kind));
     answer.set_reason(why.text);
     answer.set_not_run(to_schema(claim));
-    // Rounded up, so that a copy after this time is past the deadline of the remembered refusal.
-    answer.set_retry_after_ms(static_cast<std::uint32_t>(
-        absl::ToInt64Milliseconds(absl::Ceil(retry_after, absl::Milliseconds(1)))));
+    set_retry_after(answer, retry_after);
     return answer;
 }
 
@@ -86,4 +84,10 @@
     return answer;
 }
 
+void set_retry_after(schema::job_answer& answer, absl::Duration retry_after)
+{
+    answer.set_retry_after_ms(static_cast<std::uint32_t>(
+        absl::ToInt64Milliseconds(absl::Ceil(retry_after, absl::Milliseconds(1)))));
+}
+
 } // namespace savoryreach::entry
--- a/savoryreach/entry/answers.hpp
+++ b/savoryreach/entry/answers.hpp
@@ -32,6 +32,10 @@
 
 [[nodiscard]] schema::not_run_claim to_schema(base::not_run claim);
 
+/// Sets the retry time of \p answer, rounded up to whole milliseconds, so that a copy after this
+/// time is past the deadline of the remembered refusal.
+void set_retry_after(schema::job_answer& answer, absl::Duration retry_after);
+
 } // namespace savoryreach::entry
 
 #endif
--- a/savoryreach/entry/job_flow.cpp
+++ b/savoryreach/entry/job_flow.cpp
@@ -24,8 +24,7 @@
 schema::job_answer repeated_answer(const remembered_refusal& known, absl::Time now)
 {
     auto answer = known.answer;
-    answer.set_retry_after_ms(static_cast<std::uint32_t>(
-        absl::ToInt64Milliseconds(absl::Ceil(known.until - now, absl::Milliseconds(1)))));
+    set_retry_after(answer, known.until - now);
     return answer;
 }
 
--- a/savoryreach/entry/refused_requests.cpp
+++ b/savoryreach/entry/refused_requests.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/entry/refused_requests.hpp"
 
+#include "savoryreach/entry/answers.hpp"
+
 namespace savoryreach::entry
 {
 
@@ -31,8 +33,7 @@
     auto answer = it->second.answer;
     if (now < it->second.retry_at)
     {
-        answer.set_retry_after_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(
-            absl::Ceil(it->second.retry_at - now, absl::Milliseconds(1)))));
+        set_retry_after(answer, it->second.retry_at - now);
     }
     else
     {
