--- a/savoryreach/base/system_clock.cpp
+++ b/savoryreach/base/system_clock.cpp
@@ -1,21 +1,23 @@
 #include "savoryreach/base/system_clock.hpp"
 
-#include <absl/time/clock.h>
-
 #include <chrono>
+#include <ctime>
 
 namespace savoryreach::base
 {
 
 absl::Time steady_now()
 {
-    return absl::UnixEpoch() +
-           absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+    // CLOCK_MONOTONIC stands still while the host is suspended; a lease must not.
+    timespec now = {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return absl::TimeFromTimespec(now);
 }
 
 absl::Time system_clock::wall_now() const
 {
-    return absl::Now();
+    // absl::Now() interpolates by the processor's cycle counter and drifts on slowed hosts.
+    return absl::FromChrono(std::chrono::system_clock::now());
 }
 
 } // namespace savoryreach::base
--- /dev/null
+++ b/savoryreach/daemon/agent_node.cpp
@@ -0,0 +1,157 @@
+#include "savoryreach/daemon/agent_node.hpp"
+
+#include "savoryreach/daemon/logger.hpp"
+#include "savoryreach/dispatch/dispatcher.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <chrono>
+#include <random>
+
+namespace savoryreach::daemon
+{
+namespace
+{
+
+constexpr absl::Duration hub_interval = absl::Milliseconds(100);
+/// Longest pause of the loop while something runs, and while nothing does.
+constexpr std::chrono::milliseconds busy_pause(25);
+constexpr std::chrono::milliseconds idle_pause(100);
+
+} // namespace
+
+agent_node::agent_node(boost::asio::io_context& io, agent_node_options options)
+    : io_(io), options_(std::move(options)), log_(clock_), process_(std::random_device()()),
+      locator_(options_.seeds), timer_(io)
+{
+    hub_ = std::make_unique<net::link_hub>(
+        io_,
+        net::link_hub::options{absl::StrCat(options_.host, "/", absl::StrFormat("%08x", process_)),
+                               "agent", "", options_.ip, false},
+        net::link_hub::callbacks{
+            .up = [](const net::link_peer&) {},
+            .received = [this](const net::link_peer& it, const schema::envelope& message)
+            { on_message(it, message); },
+            .down =
+                [this](const net::link_peer& it, const std::string& why)
+            {
+                log_.record("link_lost", {{"peer", it.name}, {"reason", why}});
+                locator_.on_down(it.name);
+            }},
+        clock_);
+}
+
+void agent_node::start(dispatch::endpoint_calls& calls)
+{
+    agent_ = std::make_unique<dispatch::endpoint_agent>(
+        clock_, calls, *this, log_,
+        dispatch::endpoint_agent_options{options_.host, process_, options_.longest_lease,
+                                         dispatch::dispatcher::agent_renews_for});
+    log(log_level::info, "started", {{"name", options_.host}, {"role", "agent"}});
+    turn();
+    set_timer();
+}
+
+void agent_node::set_seeds(const std::vector<std::string>& seeds)
+{
+    locator_.set_seeds(seeds);
+    schedule_turn();
+}
+
+void agent_node::set_timer()
+{
+    timer_.expires_after(agent_->is_busy() ? busy_pause : idle_pause);
+    timer_.async_wait(
+        [this](const boost::system::error_code& ec)
+        {
+            if (!ec && !stopped_)
+            {
+                turn();
+                set_timer();
+            }
+        });
+}
+
+void agent_node::schedule_turn()
+{
+    if (!turn_posted_)
+    {
+        turn_posted_ = true;
+        boost::asio::post(io_,
+                          [this]
+                          {
+                              turn_posted_ = false;
+                              turn();
+                          });
+    }
+}
+
+void agent_node::turn()
+{
+    if (stopped_)
+    {
+        return;
+    }
+    const auto now = clock_.now();
+    if (now >= hub_tick_at_)
+    {
+        hub_tick_at_ = now + hub_interval;
+        hub_->want(locator_.addresses(now));
+        hub_->tick();
+    }
+    if (const auto who = locator_.dispatcher(now))
+    {
+        agent_->on_dispatcher(who->name, who->term, locator_.confirmed_at());
+    }
+    else
+    {
+        agent_->on_dispatcher_lost();
+    }
+    agent_->tick();
+    flush_log();
+}
+
+void agent_node::on_message(const net::link_peer& from, const schema::envelope& message)
+{
+    if (message.has_core_view())
+    {
+        locator_.on_view(from.name, message.core_view(), clock_.now());
+    }
+    if (message.has_endpoint_orders())
+    {
+        agent_->on_orders(message.endpoint_orders());
+    }
+    schedule_turn();
+}
+
+void agent_node::send_report(schema::endpoint_report report)
+{
+    if (const auto who = locator_.dispatcher(clock_.now()))
+    {
+        schema::envelope message;
+        *message.mutable_endpoint_report() = std::move(report);
+        hub_->send(base::node_name(who->name), std::move(message));
+    }
+}
+
+void agent_node::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+    hub_->stop();
+    flush_log();
+}
+
+std::string agent_node::metrics_text() const
+{
+    return absl::StrCat(
+        "# HELP savoryreach_runs runs on the endpoint\n"
+        "# TYPE savoryreach_runs gauge\nsavoryreach_runs ",
+        agent_->run_count(),
+        "\n# HELP savoryreach_endpoint_silent 1 while the endpoint does not answer\n"
+        "# TYPE savoryreach_endpoint_silent gauge\nsavoryreach_endpoint_silent ",
+        agent_->is_silent() ? 1 : 0, "\n");
+}
+
+} // namespace savoryreach::daemon
--- /dev/null
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -0,0 +1,9 @@
+# What the processes on the users' platform need.
+target_sources(savoryreach PRIVATE
+  daemon/agent_node.cpp
+  daemon/core_member.cpp
+  daemon/decision_log.cpp
+  daemon/fleet_node.cpp
+  daemon/http_pool.cpp
+  daemon/http_service.cpp
+  daemon/logger.cpp)
--- /dev/null
+++ b/savoryreach/daemon/http_pool.cpp
@@ -0,0 +1,234 @@
+#include "savoryreach/daemon/http_pool.hpp"
+
+#include "savoryreach/net/link_hub.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace savoryreach::daemon
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+class http_pool::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    explicit connection(http_pool& owner) : owner_(&owner), stream_(owner.io_) {}
+
+    [[nodiscard]] bool is_idle() const { return !busy_ && !closed_; }
+    [[nodiscard]] bool is_closed() const { return closed_; }
+
+    /// Closes without a word to the pool, which is going away.
+    void detach()
+    {
+        owner_ = nullptr;
+        close();
+    }
+
+    void close()
+    {
+        closed_ = true;
+        beast::error_code ec;
+        stream_.socket().close(ec);
+    }
+
+    void run(queued it)
+    {
+        busy_ = true;
+        current_ = std::move(it);
+        stream_.expires_after(absl::ToChronoMilliseconds(current_.what.time_limit));
+        if (connected_)
+        {
+            send();
+            return;
+        }
+        const auto to = net::parse_endpoint(owner_->address_);
+        if (!to)
+        {
+            boost::asio::post(owner_->io_, [self = shared_from_this()] { self->fail(); });
+            return;
+        }
+        beast::error_code ec;
+        stream_.socket().open(to->protocol(), ec);
+        if (!owner_->local_ip_.empty())
+        {
+            stream_.socket().bind({boost::asio::ip::make_address(owner_->local_ip_, ec), 0}, ec);
+        }
+        stream_.async_connect(*to,
+                              [self = shared_from_this()](beast::error_code failed)
+                              {
+                                  if (failed || self->closed_)
+                                  {
+                                      self->fail();
+                                      return;
+                                  }
+                                  beast::error_code ignored;
+                                  self->stream_.socket().set_option(
+                                      boost::asio::ip::tcp::no_delay(true), ignored);
+                                  self->connected_ = true;
+                                  self->send();
+                              });
+    }
+
+private:
+    void send()
+    {
+        constexpr unsigned http_1_1 = 11;
+        request_ = {};
+        request_.version(http_1_1);
+        request_.method_string(current_.what.method);
+        request_.target(current_.what.path);
+        request_.set(http::field::host, owner_ == nullptr ? "" : owner_->address_);
+        request_.set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : current_.what.headers)
+        {
+            request_.set(name, value);
+        }
+        request_.body() = std::move(current_.what.body);
+        request_.prepare_payload();
+        http::async_write(stream_, request_,
+                          [self = shared_from_this()](beast::error_code ec, std::size_t)
+                          {
+                              if (ec)
+                              {
+                                  self->fail();
+                                  return;
+                              }
+                              self->receive();
+                          });
+    }
+
+    void receive()
+    {
+        /// Largest reply, bytes: a list of all runs and 500 ends.
+        constexpr std::uint64_t max_reply_bytes = 4UL * 1024 * 1024;
+        parser_.emplace();
+        parser_->body_limit(max_reply_bytes);
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](beast::error_code ec, std::size_t)
+                         {
+                             if (ec)
+                             {
+                                 self->fail();
+                                 return;
+                             }
+                             self->succeed();
+                         });
+    }
+
+    void succeed()
+    {
+        stream_.expires_never();
+        auto response = parser_->release();
+        if (!response.keep_alive())
+        {
+            close();
+        }
+        finish(http_reply{static_cast<int>(response.result_int()), std::move(response.body())});
+    }
+
+    void fail()
+    {
+        close();
+        finish(std::nullopt);
+    }
+
+    void finish(const std::optional<http_reply>& reply)
+    {
+        const auto handler = std::move(current_.on_reply);
+        current_ = {};
+        busy_ = false;
+        auto* owner = owner_;
+        if (owner == nullptr)
+        {
+            return;
+        }
+        if (closed_)
+        {
+            std::erase(owner->connections_, shared_from_this());
+        }
+        if (handler)
+        {
+            handler(reply);
+        }
+        owner->assign();
+    }
+
+    http_pool* owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    queued current_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    bool connected_ = false;
+    bool busy_ = false;
+    bool closed_ = false;
+};
+
+http_pool::http_pool(boost::asio::io_context& io, std::string local_ip, std::size_t max_connections)
+    : io_(io), local_ip_(std::move(local_ip)), max_connections_(max_connections)
+{
+}
+
+http_pool::~http_pool()
+{
+    for (const auto& it : connections_)
+    {
+        it->detach();
+    }
+}
+
+void http_pool::set_address(const std::string& address)
+{
+    if (address == address_)
+    {
+        return;
+    }
+    address_ = address;
+    const auto connections = connections_;
+    for (const auto& it : connections)
+    {
+        if (it->is_idle())
+        {
+            it->close();
+            std::erase(connections_, it);
+        }
+    }
+}
+
+void http_pool::call(request it, reply_handler on_reply)
+{
+    queue_.push_back({std::move(it), std::move(on_reply)});
+    assign();
+}
+
+void http_pool::assign()
+{
+    while (!queue_.empty())
+    {
+        auto idle = std::ranges::find_if(connections_, &connection::is_idle);
+        std::shared_ptr<connection> chosen;
+        if (idle != connections_.end())
+        {
+            chosen = *idle;
+        }
+        else if (connections_.size() < max_connections_)
+        {
+            chosen = std::make_shared<connection>(*this);
+            connections_.push_back(chosen);
+        }
+        else
+        {
+            return;
+        }
+        auto next = std::move(queue_.front());
+        queue_.pop_front();
+        chosen->run(std::move(next));
+    }
+}
+
+} // namespace savoryreach::daemon
--- /dev/null
+++ b/savoryreach/daemon/http_service.cpp
@@ -0,0 +1,308 @@
+#include "savoryreach/daemon/http_service.hpp"
+
+#include "savoryreach/net/link_hub.hpp"
+
+#include <absl/strings/numbers.h>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+
+namespace savoryreach::daemon
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+class http_service::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(boost::asio::ip::tcp::socket socket, http_service& owner)
+        : stream_(std::move(socket)), owner_(owner)
+    {
+        boost::system::error_code ec;
+        stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(owner_.limits_.header_bytes);
+        parser_->body_limit(owner_.limits_.body_bytes);
+        if (buffer_.size() > 0)
+        {
+            read_request();
+            return;
+        }
+        // The time limit of a request starts with its first byte.
+        expire_in(owner_.limits_.idle_timeout_ms);
+        stream_.async_read_some(buffer_.prepare(read_bytes),
+                                [self = shared_from_this()](beast::error_code ec, std::size_t n)
+                                {
+                                    if (ec)
+                                    {
+                                        self->close();
+                                        return;
+                                    }
+                                    self->buffer_.commit(n);
+                                    self->read_request();
+                                });
+    }
+
+    void close()
+    {
+        if (closed_)
+        {
+            return;
+        }
+        closed_ = true;
+        beast::error_code ec;
+        stream_.socket().close(ec);
+        if (current_)
+        {
+            current_->caller_gone();
+        }
+        owner_.connections_.erase(shared_from_this());
+    }
+
+private:
+    class exchange final : public http_exchange
+    {
+    public:
+        explicit exchange(std::shared_ptr<connection> to) : to_(std::move(to))
+        {
+            ++to_->owner_.open_exchanges_;
+        }
+        ~exchange() override
+        {
+            if (!answered_)
+            {
+                --to_->owner_.open_exchanges_;
+            }
+        }
+
+        void answer(http_answer it) override
+        {
+            if (answered_)
+            {
+                return;
+            }
+            answered_ = true;
+            --to_->owner_.open_exchanges_;
+            gone_ = nullptr;
+            to_->current_ = nullptr;
+            if (!to_->closed_)
+            {
+                to_->write(std::move(it));
+            }
+        }
+        void on_gone(std::function<void()> gone) override { gone_ = std::move(gone); }
+        void caller_gone()
+        {
+            if (const auto gone = std::move(gone_))
+            {
+                gone();
+            }
+        }
+
+    private:
+        std::shared_ptr<connection> to_;
+        std::function<void()> gone_;
+        bool answered_ = false;
+    };
+
+    static constexpr std::size_t read_bytes = 4096;
+
+    void expire_in(std::uint32_t ms) { stream_.expires_after(std::chrono::milliseconds(ms)); }
+
+    void read_request()
+    {
+        expire_in(owner_.limits_.header_timeout_ms);
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = shared_from_this()](beast::error_code ec, std::size_t)
+                         { self->on_read(ec); });
+    }
+
+    void on_read(beast::error_code ec)
+    {
+        if (ec == http::error::body_limit || ec == http::error::header_limit)
+        {
+            constexpr int too_large = 413;
+            constexpr int header_too_large = 431;
+            keep_alive_ = false;
+            version_ = 11;
+            http_answer out;
+            out.status = ec == http::error::body_limit ? too_large : header_too_large;
+            write(std::move(out));
+            return;
+        }
+        // A default error code is of the system's category, too.
+        if (ec && (ec == http::error::end_of_stream || ec == beast::error::timeout ||
+                   ec.category() == boost::asio::error::get_system_category()))
+        {
+            close();
+            return;
+        }
+        if (ec)
+        {
+            constexpr int bad_request = 400;
+            keep_alive_ = false;
+            version_ = 11;
+            http_answer out;
+            out.status = bad_request;
+            write(std::move(out));
+            return;
+        }
+        stream_.expires_never();
+        auto request = parser_->release();
+        keep_alive_ = request.keep_alive();
+        version_ = request.version();
+        http_call call;
+        call.method = std::string(request.method_string());
+        const auto target = request.target();
+        call.path = std::string(target.substr(0, target.find('?')));
+        const auto host = request[http::field::host];
+        call.host = std::string(host.substr(0, host.rfind(':')));
+        std::uint32_t limit = 0;
+        const auto text = request[owner_.deadline_header_];
+        if (absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &limit))
+        {
+            call.deadline_ms = limit;
+        }
+        call.body = std::move(request.body());
+        const auto it = std::make_shared<exchange>(shared_from_this());
+        current_ = it.get();
+        watch_caller();
+        owner_.serve_(call, it);
+    }
+
+    /// Notices that the caller closes its connection while it waits.
+    void watch_caller()
+    {
+        stream_.socket().async_wait(
+            boost::asio::ip::tcp::socket::wait_read,
+            [weak = weak_from_this()](beast::error_code ec)
+            {
+                const auto self = weak.lock();
+                if (ec || !self || self->closed_ || self->current_ == nullptr)
+                {
+                    return;
+                }
+                char byte = 0;
+                const auto n = ::recv(self->stream_.socket().native_handle(), &byte, 1,
+                                      MSG_PEEK | MSG_DONTWAIT);
+                const bool broken = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+                if (n == 0 || broken)
+                {
+                    self->close();
+                }
+            });
+    }
+
+    void write(http_answer it)
+    {
+        auto response = std::make_shared<http::response<http::string_body>>(
+            static_cast<http::status>(it.status), version_);
+        response->set(http::field::content_type, it.content_type);
+        if (it.retry_after_s)
+        {
+            response->set(http::field::retry_after, std::to_string(*it.retry_after_s));
+        }
+        response->body() = std::move(it.body);
+        response->keep_alive(keep_alive_ && !owner_.draining_);
+        response->prepare_payload();
+        expire_in(owner_.limits_.idle_timeout_ms);
+        http::async_write(stream_, *response,
+                          [self = shared_from_this(), response](beast::error_code ec, std::size_t)
+                          {
+                              if (ec || !response->keep_alive())
+                              {
+                                  self->finish();
+                                  return;
+                              }
+                              self->read();
+                          });
+    }
+
+    void finish()
+    {
+        beast::error_code ec;
+        if (!closed_)
+        {
+            stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+        }
+        close();
+    }
+
+    beast::tcp_stream stream_;
+    http_service& owner_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    exchange* current_ = nullptr;
+    bool keep_alive_ = true;
+    unsigned version_ = 11;
+    bool closed_ = false;
+};
+
+http_service::http_service(boost::asio::io_context& io, std::string deadline_header, handler serve)
+    : io_(io), deadline_header_(std::move(deadline_header)), serve_(std::move(serve)), acceptor_(io)
+{
+}
+
+http_service::~http_service() = default;
+
+std::optional<std::string> http_service::listen(const std::string& address)
+{
+    const auto at = net::parse_endpoint(address);
+    if (!at)
+    {
+        return "not an address: " + address;
+    }
+    boost::system::error_code ec;
+    acceptor_.open(at->protocol(), ec);
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    acceptor_.bind(*at, ec);
+    if (!ec)
+    {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec)
+    {
+        return address + ": " + ec.message();
+    }
+    accept();
+    return std::nullopt;
+}
+
+void http_service::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
+        {
+            if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open())
+            {
+                return;
+            }
+            if (!ec)
+            {
+                const auto it = std::make_shared<connection>(std::move(socket), *this);
+                connections_.insert(it);
+                it->read();
+            }
+            accept();
+        });
+}
+
+void http_service::stop()
+{
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+    const auto connections = connections_;
+    for (const auto& it : connections)
+    {
+        it->close();
+    }
+}
+
+} // namespace savoryreach::daemon
--- a/savoryreach/daemon/logger.cpp
+++ b/savoryreach/daemon/logger.cpp
@@ -9,7 +9,10 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <fcntl.h>
 #include <memory>
+#include <sstream>
+#include <unistd.h>
 
 namespace savoryreach::daemon
 {
@@ -29,8 +32,80 @@
         "\"", absl::StrReplaceAll(value, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}}), "\"");
 }
 
+/// Keeps lines until the event loop's turn ends.
+class buffered_appender final : public log4cplus::Appender
+{
+public:
+    ~buffered_appender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+    void write_out()
+    {
+        const log4cplus::thread::MutexGuard guard(access_mutex);
+        while (!lines_.empty())
+        {
+            const auto n = ::write(STDOUT_FILENO, lines_.data(), lines_.size());
+            if (n <= 0)
+            {
+                break;
+            }
+            lines_.erase(0, static_cast<std::size_t>(n));
+        }
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        if (lines_.size() > max_bytes)
+        {
+            ++dropped_;
+            return;
+        }
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        if (dropped_ > 0)
+        {
+            line << "event=log_lines_dropped count=" << dropped_ << "\n";
+            dropped_ = 0;
+        }
+        lines_ += line.str();
+    }
+
+private:
+    /// Lines that wait for a reader, bytes; some seconds of a busy process.
+    static constexpr std::size_t max_bytes = 512UL * 1024;
+
+    std::string lines_;
+    std::uint64_t dropped_ = 0;
+};
+
+log4cplus::helpers::SharedObjectPtr<buffered_appender> buffered;
+
 } // namespace
 
+void open_buffered_log(const std::string& process)
+{
+    static const log4cplus::Initializer initializer;
+    process_name = process;
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    buffered = new buffered_appender();
+    buffered->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(log4cplus::SharedAppenderPtr(buffered.get()));
+    root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void flush_log()
+{
+    if (buffered)
+    {
+        buffered->write_out();
+    }
+}
+
 void open_log(const std::string& file, const std::string& process)
 {
     static const log4cplus::Initializer initializer;
--- a/savoryreach/daemon/logger.hpp
+++ b/savoryreach/daemon/logger.hpp
@@ -20,6 +20,12 @@
 /// Opens the log of this process: \p file, or standard error when it is empty.
 void open_log(const std::string& file, const std::string& process);
 
+/// Opens the log of a process with an event loop: lines go to standard output when flush_log() is
+/// called, and are dropped and counted rather than waited for.
+void open_buffered_log(const std::string& process);
+/// Writes the lines since the last call, without waiting.
+void flush_log();
+
 /// Writes one line of key=value pairs; thread-safe.
 void log(log_level level, std::string_view event,
          std::initializer_list<observe::event_field> fields);
--- a/savoryreach/daemon/sources.cmake
+++ b/savoryreach/daemon/sources.cmake
@@ -6,7 +6,6 @@
   daemon/http_server.cpp
   daemon/json_rpc.cpp
   daemon/keeper_operator_api.cpp
-  daemon/logger.cpp
   daemon/node.cpp
   daemon/node_transport.cpp
   daemon/operator_calls.cpp
--- /dev/null
+++ b/savoryreach/dispatch/admission.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYREACH_DISPATCH_ADMISSION_HPP
+#define SAVORYREACH_DISPATCH_ADMISSION_HPP
+
+#include <absl/time/time.h>
+
+#include <compare>
+
+namespace savoryreach::dispatch
+{
+
+/// What is known when a job comes in.
+struct admission_inputs
+{
+    double work_ahead = 0.0;   ///< core-seconds that wait and go before the job
+    double work_waiting = 0.0; ///< core-seconds of all that waits
+    double job_work = 0.0;     ///< core-seconds of the job
+    double free_cores = 0.0;   ///< cores that are free now
+    double rate = 0.0;         ///< core-seconds that all usable endpoints do in a second
+    absl::Duration chain;      ///< longest chain of expected run times of the job
+    absl::Duration objective;  ///< time until the job should have ended
+};
+
+struct admission_verdict
+{
+    bool accepted = false;
+    absl::Duration expected_wait; ///< until the job's tasks start
+    absl::Time retry_at;          ///< when a refused job would be accepted if nothing else came
+
+    friend bool operator==(const admission_verdict&, const admission_verdict&) = default;
+};
+
+/// Decides whether a job is accepted. Answers bursts beyond the capacity: a job whose tasks would
+/// wait for longer than its objective leaves room for is refused at once, so that those that were
+/// accepted end in time, and what is refused costs nothing.
+[[nodiscard]] admission_verdict decide_admission(const admission_inputs& inputs, absl::Time now);
+
+} // namespace savoryreach::dispatch
+
+#endif
--- /dev/null
+++ b/savoryreach/dispatch/core_locator.cpp
@@ -0,0 +1,74 @@
+#include "savoryreach/dispatch/core_locator.hpp"
+
+#include <algorithm>
+
+namespace savoryreach::dispatch
+{
+
+void core_locator::on_view(const std::string& from, const schema::core_view& view, absl::Time now)
+{
+    // The leader's own list beats one that was passed on.
+    if (view.members_size() > 0 &&
+        (view.term() > members_term_ || (view.term() == members_term_ && view.serving())))
+    {
+        for (const auto& it : members_)
+        {
+            former_.insert(it.address());
+        }
+        members_term_ = view.term();
+        members_.assign(view.members().begin(), view.members().end());
+    }
+    if (view.serving())
+    {
+        if (!dispatcher_ || view.term() >= dispatcher_->term)
+        {
+            dispatcher_ = dispatcher_ref{from, view.term()};
+            confirmed_at_ = now;
+        }
+    }
+    else if (dispatcher_ && dispatcher_->name == from)
+    {
+        dispatcher_.reset();
+    }
+}
+
+void core_locator::on_down(const std::string& peer)
+{
+    if (dispatcher_ && dispatcher_->name == peer)
+    {
+        dispatcher_.reset();
+    }
+}
+
+std::optional<dispatcher_ref> core_locator::dispatcher(absl::Time now) const
+{
+    return dispatcher_ && confirmed_at_ + word_holds > now ? dispatcher_ : std::nullopt;
+}
+
+std::vector<std::string> core_locator::addresses(absl::Time now) const
+{
+    absl::btree_set<std::string> out;
+    for (const auto& it : members_)
+    {
+        out.insert(it.address());
+    }
+    if (!dispatcher(now))
+    {
+        out.insert(seeds_.begin(), seeds_.end());
+        out.insert(former_.begin(), former_.end());
+    }
+    return {out.begin(), out.end()};
+}
+
+schema::core_view core_locator::relayed() const
+{
+    schema::core_view out;
+    out.set_term(members_term_);
+    for (const auto& it : members_)
+    {
+        *out.add_members() = it;
+    }
+    return out;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/core_planner.cpp
@@ -0,0 +1,93 @@
+#include "savoryreach/dispatch/core_planner.hpp"
+
+#include <algorithm>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+bool is_linked(const core_state& state, const std::string& name)
+{
+    return name == state.self ||
+           std::ranges::find(state.linked, name, &net::link_peer::name) != state.linked.end();
+}
+
+/// True when another process listens at the member's address: its disk is gone, and with it the
+/// member.
+bool is_superseded(const core_state& state, const schema::keeper_member& member)
+{
+    return std::ranges::any_of(
+        state.linked, [&member](const net::link_peer& it)
+        { return it.can_store && it.address == member.address() && it.name != member.name(); });
+}
+
+schema::change_keepers removal(const schema::keeper_member& member)
+{
+    schema::change_keepers out;
+    out.set_name(member.name());
+    out.set_remove(true);
+    return out;
+}
+
+} // namespace
+
+std::optional<schema::change_keepers> core_planner::next(const core_state& state,
+                                                         absl::Time now) const
+{
+    std::size_t voters = 0;
+    std::size_t sound = 0;
+    const schema::keeper_member* lost = nullptr;
+    for (const auto& it : state.members.members())
+    {
+        const auto heard = std::max(state.heard_at(it.name()), state.leading_since);
+        const bool gone = it.name() != state.self &&
+                          ((is_superseded(state, it) && !is_linked(state, it.name())) ||
+                           now > heard + replace_after);
+        voters += it.voter() ? 1 : 0;
+        sound += it.voter() && !gone ? 1 : 0;
+        if (gone && (lost == nullptr || !it.voter()))
+        {
+            lost = &it;
+        }
+    }
+    // A learner that is gone holds up every other change.
+    if (lost != nullptr && !lost->voter())
+    {
+        return removal(*lost);
+    }
+    // Removing a lost voter never shrinks the quorum of those that remain below a majority.
+    if (lost != nullptr && voters > wanted_voters_)
+    {
+        return removal(*lost);
+    }
+    if (sound >= wanted_voters_)
+    {
+        if (voters > wanted_voters_)
+        {
+            for (const auto& it : state.members.members())
+            {
+                if (it.name() != state.self && it.voter())
+                {
+                    return removal(it);
+                }
+            }
+        }
+        return std::nullopt;
+    }
+    for (const auto& it : state.linked)
+    {
+        const bool member = std::ranges::any_of(state.members.members(), [&it](const auto& m)
+                                                { return m.name() == it.name; });
+        if (it.can_store && !member && !it.address.empty())
+        {
+            schema::change_keepers out;
+            out.set_name(it.name);
+            out.set_address(it.address);
+            return out;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -0,0 +1,175 @@
+#ifndef SAVORYREACH_DISPATCH_DISPATCHER_HPP
+#define SAVORYREACH_DISPATCH_DISPATCHER_HPP
+
+#include "savoryreach/base/clock.hpp"
+#include "savoryreach/dispatch/endpoint_table.hpp"
+#include "savoryreach/dispatch/fleet_store.hpp"
+#include "savoryreach/dispatch/job_board.hpp"
+#include "savoryreach/dispatch/queue_router.hpp"
+#include "savoryreach/dispatch/speed_model.hpp"
+#include "savoryreach/observe/event_sink.hpp"
+#include "schema/generated/dispatch.pb.h"
+#include "schema/generated/ledger.pb.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savoryreach::dispatch
+{
+
+/// What the dispatcher acts through.
+class dispatch_port
+{
+public:
+    virtual ~dispatch_port() = default;
+
+    virtual void send_orders(const std::string& agent, schema::endpoint_orders orders) = 0;
+    virtual void answer(const std::string& front, schema::front_answer answer) = 0;
+    /// Appends to the replicated log; nullopt when this process does not lead.
+    virtual std::optional<std::uint64_t> propose(schema::command command) = 0;
+};
+
+struct dispatcher_counts
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t retried_runs = 0;
+    std::uint64_t jobs = 0;      ///< now
+    std::uint64_t endpoints = 0; ///< now
+
+    friend bool operator==(const dispatcher_counts&, const dispatcher_counts&) = default;
+};
+
+/// All decisions of the process that leads the core: which jobs are accepted, in which order their
+/// tasks start and where, what happens when runs fail or endpoints go. Its state of jobs is in
+/// memory only; a next dispatcher learns from the agents what runs, and from the fronts what is
+/// wanted. No I/O; runs on one thread.
+class dispatcher
+{
+public:
+    dispatcher(const base::clock& clock, dispatch_port& port, observe::event_sink& events,
+               const fleet_store& store);
+
+    /// Begins to act in \p term. Tasks start once every host that may have runs of an earlier
+    /// term has said what runs, or its leases have ended.
+    void lead(std::uint64_t term);
+    /// Forgets everything; the fronts turn to the next dispatcher.
+    void stop_leading();
+
+    void on_front_request(const std::string& front, const schema::front_request& request);
+    void on_front_down(const std::string& front);
+    void on_report(const std::string& peer, const schema::endpoint_report& report);
+    void on_agent_down(const std::string& peer);
+    /// The log entry at \p index has been applied to the store.
+    void on_applied(std::uint64_t index);
+    /// Handles what is due and sends gathered orders. Called after each batch of messages.
+    void tick();
+
+    [[nodiscard]] bool is_leading() const { return leading_; }
+    [[nodiscard]] dispatcher_counts counts() const;
+    [[nodiscard]] const endpoint_table& endpoints() const { return endpoints_; }
+
+    /// After the last word of the dispatcher an agent renews its endpoint's leases for this long.
+    static constexpr absl::Duration agent_renews_for = absl::Milliseconds(1500);
+    /// When a host without a link can have no more runs: a link may be silent for 1.2 s before it
+    /// is closed, the agent renews leases for 1.5 s, a lease lasts 1 s on a clock that is 2 % slow.
+    static constexpr absl::Duration host_gone_after = absl::Milliseconds(3900);
+    /// A start that was sent takes effect within the longest lease, or not at all.
+    static constexpr absl::Duration start_takes_effect = absl::Milliseconds(1150);
+
+private:
+    struct pending_change
+    {
+        std::uint64_t index = 0;
+        waiter who;
+    };
+    struct ended_job
+    {
+        schema::answer_kind kind = schema::answer_unspecified;
+        absl::Time forget_at;
+        std::uint32_t last_attempt = 0;
+    };
+
+    void submit(const waiter& who, const schema::submit_job& request);
+    void accept(const waiter& who, const schema::submit_job& request,
+                const schema::queue_config& queue);
+    [[nodiscard]] std::optional<std::string> refusal_by_spec(const schema::job_spec& spec) const;
+    void refuse(const waiter& who, std::uint64_t id, absl::Duration retry_after,
+                const std::string& why);
+    void abandon(const waiter& who);
+    void cancel(const waiter& who, const schema::cancel_job& request);
+    void count_pending(const waiter& who, const schema::count_pending& request);
+    void apply_config(const waiter& who, const schema::apply_fleet_config& request);
+    void answer(const waiter& who, schema::answer_kind kind, const std::string& reason = {});
+    void adopt_runs(job& it);
+    void release_ready_steps(job& it);
+    void add_run(endpoint& it, const task_id& id, run what);
+    void remove_run(endpoint& it, const task_id& id);
+    [[nodiscard]] task* task_on(const endpoint& it, const task_id& id, std::uint32_t attempt);
+
+    void take_state(endpoint& it, const schema::endpoint_report& report);
+    void on_list(endpoint& it, const schema::endpoint_report& report);
+    void on_end(endpoint& it, const schema::run_end& end);
+    void on_run_done(endpoint& it, const task_id& id, const run& ended);
+    void on_run_failed(endpoint& it, const task_id& id);
+    /// The run is over without a result: its task waits again.
+    void requeue(const task_id& id, std::uint32_t attempt, const std::string& why);
+    void lose_runs(endpoint& it, const std::string& why);
+    void stop_run(endpoint& it, const task_id& id, std::uint32_t attempt);
+    void ask_for_list(endpoint& it);
+    void register_host(endpoint& it);
+
+    void end_job(std::uint64_t id, schema::answer_kind kind, const std::string& why);
+    void finish_if_done(job& it);
+    void place_tasks();
+    void place_job(job& it, absl::flat_hash_map<std::string, std::int64_t>& full);
+    void start(job& it, std::uint32_t step_number, std::uint32_t index, endpoint& place);
+    void watch_runs();
+    void expire();
+    void flush_orders();
+    schema::endpoint_orders& orders_for(endpoint& it);
+    [[nodiscard]] bool may_start() const;
+    [[nodiscard]] double rate() const;
+
+    const base::clock& clock_;
+    dispatch_port& port_;
+    observe::event_sink& events_;
+    const fleet_store& store_;
+    queue_router router_;
+    endpoint_table endpoints_;
+    speed_model speeds_;
+    job_board board_;
+    bool leading_ = false;
+    std::uint64_t term_ = 0;
+    std::uint64_t applied_version_ = 0; ///< of the configuration in the router
+    std::uint64_t last_look_ = 0;
+    std::uint64_t last_session_ = 0;
+    bool place_due_ = false;
+    absl::Time watch_at_ = absl::InfinitePast();
+    absl::Time orphans_until_ = absl::InfinitePast();
+    absl::btree_map<std::string, schema::endpoint_orders> orders_; ///< by host
+    /// Number of runs of each task that may be under way, on any endpoint.
+    absl::flat_hash_map<task_id, std::uint32_t> under_way_;
+    absl::flat_hash_map<std::uint64_t, ended_job> ended_;
+    std::deque<std::uint64_t> ended_order_;
+    /// Ends of runs of jobs that this dispatcher does not know, from before its term.
+    absl::flat_hash_map<task_id, schema::run_outcome> orphan_ends_;
+    std::vector<pending_change> pending_changes_;
+    dispatcher_counts counts_;
+};
+
+} // namespace savoryreach::dispatch
+
+#endif
--- /dev/null
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -0,0 +1,534 @@
+// What agents report, and what follows when runs end or endpoints go.
+
+#include "savoryreach/dispatch/dispatcher.hpp"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+/// A run that takes this many times its expected time, and a fixed time more, is taken for hung: it
+/// is stopped and started elsewhere. Slow endpoints take up to 6.5 times as long; the fixed part
+/// spares short tasks on them.
+constexpr double hung_factor = 3.5;
+constexpr absl::Duration hung_margin = absl::Milliseconds(300);
+/// A run that takes this many times its expected time shows that its endpoint has become slow.
+constexpr double slow_factor = 2.0;
+constexpr absl::Duration slow_margin = absl::Milliseconds(40);
+/// An order to stop that is not answered is repeated after this time.
+constexpr absl::Duration stop_again_after = absl::Milliseconds(500);
+/// Attempt numbers that are left out after a rejected start: more than the starts of a task.
+constexpr std::uint32_t skipped_attempts = 16;
+
+} // namespace
+
+schema::endpoint_orders& dispatcher::orders_for(endpoint& it)
+{
+    auto& out = orders_[it.host];
+    out.set_term(term_);
+    out.set_endpoint(it.id);
+    out.set_born_ms(it.born_ms);
+    out.set_session(it.session);
+    return out;
+}
+
+void dispatcher::add_run(endpoint& it, const task_id& id, run what)
+{
+    it.add(id, std::move(what));
+    ++under_way_[id];
+}
+
+void dispatcher::remove_run(endpoint& it, const task_id& id)
+{
+    it.remove(id);
+    const auto found = under_way_.find(id);
+    assert(found != under_way_.end());
+    if (--found->second == 0)
+    {
+        under_way_.erase(found);
+    }
+    place_due_ = true;
+}
+
+task* dispatcher::task_on(const endpoint& it, const task_id& id, std::uint32_t attempt)
+{
+    auto* owner = board_.find(id.job);
+    if (owner == nullptr || id.step >= owner->steps.size() ||
+        id.index >= owner->steps[id.step].tasks.size())
+    {
+        return nullptr;
+    }
+    auto& what = owner->steps[id.step].tasks[id.index];
+    const bool here =
+        what.now == task::state::out && what.host == it.host && what.attempt == attempt;
+    return here ? &what : nullptr;
+}
+
+void dispatcher::register_host(endpoint& it)
+{
+    schema::command command;
+    command.mutable_host_change()->add_joined(it.host);
+    it.joining = port_.propose(std::move(command)).has_value();
+}
+
+void dispatcher::ask_for_list(endpoint& it)
+{
+    it.look_asked = ++last_look_;
+    it.look_at = absl::InfiniteFuture();
+    orders_for(it).set_look(it.look_asked);
+}
+
+void dispatcher::on_report(const std::string& peer, const schema::endpoint_report& report)
+{
+    if (!leading_ || report.host().empty())
+    {
+        return;
+    }
+    auto& it = endpoints_.get(report.host());
+    // An agent that has lost sight of the dispatcher begins anew: orders and reports between them
+    // may be lost.
+    if (it.peer != peer || (report.session() == 0 && it.listed))
+    {
+        it.peer = peer;
+        it.agent_process = report.agent_process();
+        it.session = ++last_session_;
+        it.listed = false;
+        it.gone_at = absl::InfiniteFuture();
+        orders_.erase(it.host);
+        it.registered = store_.hosts().contains(it.host);
+        if (!it.registered && !it.joining)
+        {
+            register_host(it);
+        }
+        ask_for_list(it);
+        events_.record("agent_linked", {{"peer", it.host}, {"endpoint", report.endpoint()}});
+    }
+    take_state(it, report);
+    if (report.session() != it.session)
+    {
+        return;
+    }
+    for (const auto& confirmed : report.confirmed())
+    {
+        const auto found = it.runs.find(task_id_of(confirmed.task()));
+        if (found != it.runs.end() && found->second.attempt == confirmed.attempt() &&
+            !found->second.is_confirmed())
+        {
+            found->second.confirmed_at = clock_.now();
+        }
+    }
+    for (const auto& end : report.ends())
+    {
+        on_end(it, end);
+    }
+    if (report.last_end() > 0)
+    {
+        auto& orders = orders_for(it);
+        orders.set_acknowledged_end(std::max(orders.acknowledged_end(), report.last_end()));
+    }
+    if (report.look() != 0 && report.look() == it.look_asked)
+    {
+        on_list(it, report);
+    }
+}
+
+void dispatcher::take_state(endpoint& it, const schema::endpoint_report& report)
+{
+    if (!report.known())
+    {
+        return;
+    }
+    const bool other_life = it.id != report.endpoint() || it.born_ms != report.born_ms();
+    if (other_life)
+    {
+        events_.record("endpoint_found", {{"peer", it.host},
+                                          {"endpoint", report.endpoint()},
+                                          {"service", report.service()},
+                                          {"cpu_milli", absl::StrCat(report.cpu_milli())}});
+        it.id = report.endpoint();
+        it.born_ms = report.born_ms();
+        it.health = {};
+        it.left = false;
+        it.listed = false;
+        speeds_.forget(it.host);
+        // What ran in the earlier lifetime is settled by a list of the new one.
+        it.session = ++last_session_;
+        orders_.erase(it.host);
+        ask_for_list(it);
+    }
+    it.service = report.service();
+    it.data_centre = report.data_centre();
+    it.labels.assign(report.labels().begin(), report.labels().end());
+    it.capacity = {report.cpu_milli(), report.memory_mb(), report.gpu()};
+    if (report.draining() != it.draining || report.silent() != it.silent ||
+        report.left() != it.left)
+    {
+        events_.record("endpoint_state", {{"peer", it.host},
+                                          {"draining", report.draining() ? "1" : "0"},
+                                          {"silent", report.silent() ? "1" : "0"},
+                                          {"left", report.left() ? "1" : "0"}});
+        place_due_ = true;
+    }
+    it.draining = report.draining();
+    it.silent = report.silent();
+    it.left = report.left();
+    if (it.left)
+    {
+        lose_runs(it, "the endpoint has left");
+    }
+}
+
+void dispatcher::on_list(endpoint& it, const schema::endpoint_report& report)
+{
+    const auto now = clock_.now();
+    absl::flat_hash_set<task_id> listed;
+    for (const auto& row : report.running())
+    {
+        const auto id = task_id_of(row.task());
+        const auto found = it.runs.find(id);
+        listed.insert(id);
+        if (found != it.runs.end())
+        {
+            if (row.attempt() > found->second.attempt)
+            {
+                found->second.attempt = row.attempt();
+            }
+            if (row.confirmed() && !found->second.is_confirmed())
+            {
+                found->second.confirmed_at = now;
+            }
+            found->second.session = it.session;
+            continue;
+        }
+        run unknown;
+        unknown.attempt = row.attempt();
+        // Without its size the run is taken to fill the endpoint.
+        unknown.takes =
+            row.cpu_milli() == 0 ? it.capacity : room{row.cpu_milli(), row.memory_mb(), row.gpu()};
+        unknown.sent_at = now;
+        unknown.confirmed_at = row.confirmed() ? now : absl::InfiniteFuture();
+        unknown.session = it.session;
+        unknown.process = it.agent_process;
+        add_run(it, id, std::move(unknown));
+        if (auto* owner = board_.find(id.job); owner != nullptr && id.step < owner->steps.size() &&
+                                               id.index < owner->steps[id.step].tasks.size())
+        {
+            auto& of = owner->steps[id.step];
+            auto& what = of.tasks[id.index];
+            if (what.now == task::state::waiting && of.released)
+            {
+                what.now = task::state::out;
+                what.host = it.host;
+                what.attempt = row.attempt();
+                board_.add_waiting(*owner, of, -1);
+                auto& adopted = it.runs.at(id);
+                adopted.queue = owner->queue.name();
+                adopted.declared = of.declared;
+            }
+        }
+    }
+    std::vector<task_id> over;
+    for (const auto& [id, what] : it.runs)
+    {
+        if (listed.contains(id) || what.session == it.session)
+        {
+            continue;
+        }
+        // Another agent process knows nothing of a start that is still on its way.
+        const bool settled = what.process == it.agent_process || what.is_confirmed() ||
+                             now >= what.sent_at + start_takes_effect;
+        if (settled)
+        {
+            over.push_back(id);
+        }
+        else
+        {
+            it.look_at = std::min(it.look_at, what.sent_at + start_takes_effect);
+        }
+    }
+    for (const auto& id : over)
+    {
+        const auto attempt = it.runs.at(id).attempt;
+        auto* what = task_on(it, id, attempt);
+        remove_run(it, id);
+        if (what != nullptr)
+        {
+            requeue(id, attempt, "not in the endpoint's list");
+        }
+    }
+    it.listed = true;
+    it.from_before = false;
+    place_due_ = true;
+}
+
+void dispatcher::on_end(endpoint& it, const schema::run_end& end)
+{
+    const auto id = task_id_of(end.task());
+    const auto found = it.runs.find(id);
+    const bool known = found != it.runs.end() && found->second.attempt == end.attempt();
+    auto* what = task_on(it, id, end.attempt());
+    const run ended = known ? found->second : run{};
+    if (known)
+    {
+        remove_run(it, id);
+    }
+    if (what == nullptr)
+    {
+        const bool result =
+            end.outcome() == schema::run_done || end.outcome() == schema::run_failed;
+        if (result && board_.find(id.job) == nullptr && !ended_.contains(id.job) &&
+            clock_.now() < orphans_until_)
+        {
+            orphan_ends_[id] = end.outcome();
+        }
+        return;
+    }
+    switch (end.outcome())
+    {
+    case schema::run_done:
+        on_run_done(it, id, ended);
+        return;
+    case schema::run_failed:
+        on_run_failed(it, id);
+        return;
+    case schema::run_unhealthy:
+        it.health.on_refusal(clock_.now());
+        requeue(id, end.attempt(), "refused by an unhealthy endpoint");
+        return;
+    case schema::run_rejected:
+        // A higher run may have been known there; its number is left behind.
+        what->attempt += skipped_attempts;
+        requeue(id, what->attempt, "start rejected");
+        return;
+    default:
+        requeue(id, end.attempt(), schema::run_outcome_Name(end.outcome()));
+    }
+}
+
+void dispatcher::on_run_done(endpoint& it, const task_id& id, const run& ended)
+{
+    const auto now = clock_.now();
+    auto* owner = board_.find(id.job);
+    auto& of = owner->steps[id.step];
+    of.tasks[id.index].now = task::state::done;
+    --of.open;
+    owner->had_success = true;
+    it.health.on_success();
+    const auto began = ended.is_confirmed() ? ended.confirmed_at : ended.sent_at;
+    if (!ended.queue.empty())
+    {
+        speeds_.learn(it.host, ended.queue, ended.declared, now - began);
+    }
+    if (of.open == 0)
+    {
+        release_ready_steps(*owner);
+    }
+    finish_if_done(*owner);
+}
+
+void dispatcher::on_run_failed(endpoint& it, const task_id& id)
+{
+    auto* owner = board_.find(id.job);
+    auto& what = owner->steps[id.step].tasks[id.index];
+    ++what.failures;
+    ++counts_.retried_runs;
+    // A job that fails on one endpoint after another is at fault itself.
+    const bool first_here =
+        std::ranges::find(owner->failed_hosts, it.host) == owner->failed_hosts.end();
+    if (first_here && (owner->failed_hosts.empty() || owner->had_success))
+    {
+        it.health.on_failure(clock_.now());
+    }
+    if (first_here)
+    {
+        owner->failed_hosts.push_back(it.host);
+    }
+    events_.record("run_failed", {{"submission", job_text(id.job)},
+                                  {"task", absl::StrCat(id.step, ".", id.index)},
+                                  {"attempt", absl::StrCat(what.attempt)},
+                                  {"failures", absl::StrCat(what.failures)},
+                                  {"peer", it.host}});
+    if (what.failures >= std::max(owner->queue.max_attempts(), 1U))
+    {
+        ++counts_.failed;
+        what.now = task::state::waiting; // nothing of it runs
+        end_job(id.job, schema::answer_failed, "a task has failed as often as allowed");
+        return;
+    }
+    what.avoided.push_back(it.host);
+    requeue(id, what.attempt, "failed");
+}
+
+void dispatcher::requeue(const task_id& id, std::uint32_t attempt, const std::string& why)
+{
+    auto* owner = board_.find(id.job);
+    auto& of = owner->steps[id.step];
+    auto& what = of.tasks[id.index];
+    assert(what.now == task::state::out);
+    what.now = task::state::waiting;
+    what.attempt = std::max(what.attempt, attempt);
+    board_.add_waiting(*owner, of, 1);
+    place_due_ = true;
+    if (why != "failed")
+    {
+        events_.record("run_over", {{"submission", job_text(id.job)},
+                                    {"task", absl::StrCat(id.step, ".", id.index)},
+                                    {"attempt", absl::StrCat(attempt)},
+                                    {"peer", what.host},
+                                    {"reason", why}});
+    }
+}
+
+void dispatcher::lose_runs(endpoint& it, const std::string& why)
+{
+    std::vector<std::pair<task_id, std::uint32_t>> lost;
+    for (const auto& [id, what] : it.runs)
+    {
+        lost.emplace_back(id, what.attempt);
+    }
+    for (const auto& [id, attempt] : lost)
+    {
+        const auto* what = task_on(it, id, attempt);
+        remove_run(it, id);
+        if (what != nullptr)
+        {
+            requeue(id, attempt, why);
+        }
+    }
+}
+
+void dispatcher::stop_run(endpoint& it, const task_id& id, std::uint32_t attempt)
+{
+    const auto found = it.runs.find(id);
+    if (found == it.runs.end() || found->second.attempt != attempt)
+    {
+        return;
+    }
+    found->second.stopping = true;
+    found->second.stop_again_at = clock_.now() + stop_again_after;
+    auto& order = *orders_for(it).add_stops();
+    fill(*order.mutable_task(), id);
+    order.set_attempt(attempt);
+}
+
+void dispatcher::on_agent_down(const std::string& peer)
+{
+    auto* it = endpoints_.find_peer(peer);
+    if (!leading_ || it == nullptr)
+    {
+        return;
+    }
+    events_.record("agent_lost", {{"peer", it->host}, {"runs", absl::StrCat(it->runs.size())}});
+    it->peer.clear();
+    it->listed = false;
+    it->gone_at = clock_.now() + host_gone_after;
+    orders_.erase(it->host);
+}
+
+void dispatcher::watch_runs()
+{
+    const auto now = clock_.now();
+    for (auto& [host, it] : endpoints_.all())
+    {
+        std::vector<std::pair<task_id, std::uint32_t>> stops;
+        for (auto& [id, what] : it->runs)
+        {
+            if (what.stopping)
+            {
+                if (now >= what.stop_again_at && !it->peer.empty())
+                {
+                    stops.emplace_back(id, what.attempt);
+                }
+                continue;
+            }
+            if (!what.is_confirmed())
+            {
+                continue;
+            }
+            if (what.queue.empty())
+            {
+                if (now >= orphans_until_)
+                {
+                    stops.emplace_back(id, what.attempt);
+                }
+                continue;
+            }
+            const auto elapsed = now - what.confirmed_at;
+            const auto expected = speeds_.expected(host, what.queue, what.declared);
+            if (elapsed > expected * slow_factor + slow_margin)
+            {
+                speeds_.learn_at_least(host, what.queue, what.declared, elapsed);
+            }
+            if (elapsed > speeds_.expected(what.queue, what.declared) * hung_factor + hung_margin)
+            {
+                stops.emplace_back(id, what.attempt);
+                if (auto* hung = task_on(*it, id, what.attempt))
+                {
+                    hung->avoided.push_back(host);
+                }
+                it->health.on_failure(now);
+                events_.record("run_hung", {{"submission", job_text(id.job)},
+                                            {"task", absl::StrCat(id.step, ".", id.index)},
+                                            {"peer", host}});
+            }
+        }
+        for (const auto& [id, attempt] : stops)
+        {
+            stop_run(*it, id, attempt);
+        }
+    }
+}
+
+void dispatcher::expire()
+{
+    const auto now = clock_.now();
+    std::vector<std::string> gone;
+    for (auto& [host, it] : endpoints_.all())
+    {
+        if (now >= it->look_at && !it->peer.empty())
+        {
+            ask_for_list(*it);
+        }
+        if (now >= it->gone_at)
+        {
+            gone.push_back(host);
+        }
+    }
+    for (const auto& host : gone)
+    {
+        auto& it = *endpoints_.find(host);
+        events_.record("host_gone", {{"peer", host}, {"runs", absl::StrCat(it.runs.size())}});
+        lose_runs(it, "its leases have ended");
+        endpoints_.erase(host);
+        speeds_.forget(host);
+        schema::command command;
+        command.mutable_host_change()->add_left(host);
+        port_.propose(std::move(command));
+        place_due_ = true;
+    }
+    while (!ended_order_.empty())
+    {
+        const auto it = ended_.find(ended_order_.front());
+        if (it != ended_.end() && it->second.forget_at > now)
+        {
+            break;
+        }
+        if (it != ended_.end())
+        {
+            ended_.erase(it);
+        }
+        ended_order_.pop_front();
+    }
+    if (now >= orphans_until_)
+    {
+        orphan_ends_.clear();
+    }
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -0,0 +1,557 @@
+#include "savoryreach/dispatch/endpoint_agent.hpp"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+/// Longest wait of a hold call for an end, milliseconds: leases of a second are renewed four times.
+constexpr std::uint32_t hold_wait_ms = 250;
+/// Reported ends are acknowledged within a round trip; a hold call before that would return at once
+/// with the same ends.
+constexpr absl::Duration acknowledgement_wait = absl::Milliseconds(30);
+/// Pause after a hold call that failed.
+constexpr absl::Duration hold_retry_pause = absl::Milliseconds(100);
+/// Calls in a row without an answer after which the endpoint counts as silent.
+constexpr std::uint32_t silent_after = 2;
+/// An endpoint's clock may be this much slower than true time.
+constexpr double slowest_clock = 1.02;
+/// Allowance for the time that a call takes to arrive.
+constexpr absl::Duration arrival_margin = absl::Milliseconds(30);
+/// A start is sent this many times at most; each waits for an answer of its own.
+constexpr std::uint32_t max_start_sends = 3;
+
+} // namespace
+
+endpoint_agent::endpoint_agent(const base::clock& clock, endpoint_calls& calls,
+                               report_port& reports, observe::event_sink& events,
+                               endpoint_agent_options options)
+    : clock_(clock), calls_(calls), reports_(reports), events_(events),
+      options_(std::move(options)),
+      // An earlier process may have given leases until just now.
+      lease_until_(clock.now() + options_.longest_lease * slowest_clock + arrival_margin)
+{
+}
+
+// ---- the endpoint's own word ----
+
+void endpoint_agent::on_status(const endpoint_status& status)
+{
+    const bool same = known_ && status.id == status_.id && status.born_ms == status_.born_ms;
+    if (!same)
+    {
+        // A delayed heartbeat of an earlier lifetime says nothing of the present one.
+        if (status.born_ms < status_.born_ms)
+        {
+            return;
+        }
+        begin_life(status);
+        return;
+    }
+    if (status.sequence <= status_.sequence)
+    {
+        return;
+    }
+    const bool changed = status.draining != status_.draining ||
+                         status.capacity != status_.capacity || status.service != status_.service;
+    status_ = status;
+    note_clock(status.clock_ms);
+    if (changed)
+    {
+        events_.record("endpoint_changed",
+                       {{"endpoint", status.id}, {"draining", status.draining ? "1" : "0"}});
+        send_state();
+    }
+}
+
+void endpoint_agent::begin_life(const endpoint_status& status)
+{
+    const bool other = status.id != status_.id || status.born_ms != status_.born_ms;
+    status_ = status;
+    known_ = true;
+    left_ = false;
+    note_clock(status.clock_ms);
+    events_.record("endpoint_life", {{"endpoint", status.id},
+                                     {"born_ms", absl::StrCat(status.born_ms)},
+                                     {"service", status.service}});
+    if (other)
+    {
+        // A start without an answer may have reached the new lifetime; the others are over.
+        absl::erase_if(runs_, [](const auto& it) { return it.second.confirmed; });
+        unacknowledged_.clear();
+        seen_end_ = acknowledged_end_ = sent_cursor_ = 0;
+        failed_calls_ = 0;
+        silent_ = false;
+    }
+    send_state();
+}
+
+void endpoint_agent::on_leave(const std::string& id)
+{
+    if (!known_ || id != status_.id)
+    {
+        return;
+    }
+    events_.record("endpoint_left", {{"endpoint", id}, {"runs", absl::StrCat(runs_.size())}});
+    left_ = true;
+    runs_.clear();
+    send_state();
+}
+
+void endpoint_agent::note_clock(std::int64_t clock_ms)
+{
+    clock_ms_ = clock_ms;
+    clock_at_ = clock_.now();
+}
+
+std::int64_t endpoint_agent::endpoint_clock() const
+{
+    return clock_ms_ + absl::ToInt64Milliseconds(clock_.now() - clock_at_);
+}
+
+// ---- the dispatcher ----
+
+bool endpoint_agent::has_contact() const
+{
+    return clock_.now() < contact_until_;
+}
+
+void endpoint_agent::on_dispatcher(const std::string& name, std::uint64_t term, absl::Time heard_at)
+{
+    if (term < term_)
+    {
+        return;
+    }
+    contact_until_ = std::max(contact_until_, heard_at + options_.renews_for);
+    if (term != term_ || name != dispatcher_)
+    {
+        dispatcher_ = name;
+        term_ = term;
+        session_ = 0;
+        look_ = 0;
+        pending_.reset();
+        send_state();
+    }
+}
+
+void endpoint_agent::on_orders(const schema::endpoint_orders& orders)
+{
+    if (orders.term() != term_ || orders.session() < session_)
+    {
+        return;
+    }
+    if (orders.session() > session_)
+    {
+        session_ = orders.session();
+        pending_.reset();
+        send_state();
+    }
+    if (orders.endpoint() != status_.id || orders.born_ms() != status_.born_ms)
+    {
+        if (orders.look() != 0 && !known_)
+        {
+            look_ = orders.look();
+            look_at_ = clock_.now();
+        }
+        return; // meant for an earlier lifetime; the report of the new one is on its way
+    }
+    if (orders.acknowledged_end() > acknowledged_end_)
+    {
+        acknowledged_end_ = std::min(orders.acknowledged_end(), seen_end_);
+        while (!unacknowledged_.empty() && unacknowledged_.front().number() <= acknowledged_end_)
+        {
+            unacknowledged_.pop_front();
+        }
+    }
+    if (orders.look() != 0)
+    {
+        look_ = orders.look();
+        look_at_ = clock_.now();
+        hold_again_at_ = absl::InfinitePast();
+    }
+    for (const auto& it : orders.stops())
+    {
+        calls_.stop({task_id_of(it.task()), it.attempt(), term_});
+    }
+    for (const auto& it : orders.starts())
+    {
+        const auto payload =
+            std::ranges::find(orders.payloads(), it.task().job(), &schema::job_payload::job);
+        take_start(it, payload == orders.payloads().end() ? std::string() : payload->payload());
+    }
+}
+
+void endpoint_agent::take_start(const schema::start_order& order, const std::string& payload)
+{
+    const auto task = task_id_of(order.task());
+    if (status_.draining || left_ || silent_ || !has_contact() || runs_.contains(task))
+    {
+        end_run(task, order.attempt(), silent_ ? schema::run_unhealthy : schema::run_expired, 0);
+        return;
+    }
+    own_run it;
+    it.attempt = order.attempt();
+    it.takes = {order.cpu_milli(), order.memory_mb(), order.gpu()};
+    it.call.task = task;
+    it.call.attempt = order.attempt();
+    it.call.payload = payload;
+    it.call.expires_ms = endpoint_clock() + absl::ToInt64Milliseconds(options_.longest_lease);
+    it.call.token = term_;
+    it.call.endpoint = status_.id;
+    send_start(runs_[task] = std::move(it));
+}
+
+void endpoint_agent::send_start(own_run& it)
+{
+    it.in_flight = true;
+    ++it.sent;
+    lease_until_ = std::max(lease_until_,
+                            clock_.now() + options_.longest_lease * slowest_clock + arrival_margin);
+    const auto call = it.call;
+    calls_.start(call);
+}
+
+// ---- answers of the endpoint ----
+
+void endpoint_agent::on_start_answer(const start_call& call, start_result result,
+                                     std::int64_t clock_ms)
+{
+    if (result != start_result::no_answer && clock_ms > 0 && call.endpoint == status_.id)
+    {
+        note_clock(clock_ms);
+    }
+    const auto found = runs_.find(call.task);
+    if (found == runs_.end() || found->second.attempt != call.attempt || found->second.confirmed)
+    {
+        return;
+    }
+    auto& it = found->second;
+    it.in_flight = false;
+    switch (result)
+    {
+    case start_result::started:
+    {
+        it.confirmed = true;
+        it.confirmed_at = clock_.now();
+        it.call.payload.clear();
+        failed_calls_ = 0;
+        auto& order = *pending().add_confirmed();
+        fill(*order.mutable_task(), call.task);
+        order.set_attempt(call.attempt);
+        break;
+    }
+    case start_result::no_answer:
+        events_.record("start_unanswered", {{"submission", job_text(call.task.job)},
+                                            {"attempt", absl::StrCat(call.attempt)},
+                                            {"sent", absl::StrCat(it.sent)}});
+        ++failed_calls_;
+        if (it.sent < max_start_sends && endpoint_clock() < it.call.expires_ms)
+        {
+            send_start(it);
+        }
+        else
+        {
+            it.give_up = true;
+        }
+        break;
+    case start_result::old:
+    case start_result::late:
+    case start_result::other_lifetime:
+        if (it.sent > 1)
+        {
+            it.give_up = true; // an earlier copy of the call may have taken effect
+            break;
+        }
+        end_run(call.task, call.attempt,
+                result == start_result::old ? schema::run_rejected : schema::run_expired, 0);
+        break;
+    case start_result::unhealthy:
+        if (it.sent > 1)
+        {
+            it.give_up = true;
+            break;
+        }
+        end_run(call.task, call.attempt, schema::run_unhealthy, 0);
+        break;
+    case start_result::fenced:
+    case start_result::no_room:
+    case start_result::invalid:
+        events_.record("start_rejected", {{"submission", job_text(call.task.job)},
+                                          {"attempt", absl::StrCat(call.attempt)},
+                                          {"result", absl::StrCat(static_cast<int>(result))}});
+        end_run(call.task, call.attempt, schema::run_rejected, 0);
+        break;
+    }
+}
+
+void endpoint_agent::on_stop_answer(const stop_call& call, bool answered)
+{
+    const auto found = runs_.find(call.task);
+    if (answered && found != runs_.end() && found->second.attempt == call.attempt &&
+        !found->second.confirmed)
+    {
+        // The endpoint will reject the start from now on: the next list settles the run.
+        found->second.call.expires_ms = 0;
+        found->second.give_up = true;
+    }
+}
+
+void endpoint_agent::end_run(const task_id& task, std::uint32_t attempt,
+                             schema::run_outcome outcome, std::uint64_t number)
+{
+    schema::run_end end;
+    end.set_number(number);
+    fill(*end.mutable_task(), task);
+    end.set_attempt(attempt);
+    end.set_outcome(outcome);
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.attempt == attempt)
+    {
+        runs_.erase(found);
+    }
+    auto& report = pending();
+    if (number > 0)
+    {
+        unacknowledged_.push_back(end);
+        report.set_last_end(number);
+        ends_reported_at_ = clock_.now();
+    }
+    *report.add_ends() = std::move(end);
+}
+
+void endpoint_agent::on_hold_answer(const std::optional<hold_answer>& answer)
+{
+    hold_in_flight_ = false;
+    if (!answer)
+    {
+        ++failed_calls_;
+        hold_again_at_ = clock_.now() + hold_retry_pause;
+        return;
+    }
+    if (!known_ || (answer->born_ms != 0 && answer->born_ms != status_.born_ms))
+    {
+        // Another lifetime; its heartbeat tells the rest.
+        hold_again_at_ = clock_.now() + hold_retry_pause;
+        return;
+    }
+    failed_calls_ = 0;
+    if (silent_)
+    {
+        silent_ = false;
+        events_.record("endpoint_answers", {{"endpoint", status_.id}});
+        send_state();
+    }
+    note_clock(answer->clock_ms);
+    take_ends(*answer);
+    settle_runs(*answer);
+    if (look_ != 0 && hold_sent_at_ >= look_at_)
+    {
+        report_list();
+    }
+}
+
+void endpoint_agent::take_ends(const hold_answer& answer)
+{
+    for (const auto& it : answer.ended)
+    {
+        if (it.number > seen_end_)
+        {
+            seen_end_ = it.number;
+            end_run(it.task, it.attempt, it.outcome, it.number);
+        }
+    }
+}
+
+/// Compares the own runs with the endpoint's list.
+void endpoint_agent::settle_runs(const hold_answer& answer)
+{
+    absl::flat_hash_set<task_id> listed;
+    for (const auto& row : answer.running)
+    {
+        listed.insert(row.task);
+        auto& it = runs_[row.task];
+        if (it.attempt > row.attempt)
+        {
+            continue;
+        }
+        if (!it.confirmed)
+        {
+            it.confirmed = true;
+            it.confirmed_at = clock_.now();
+            auto& order = *pending().add_confirmed();
+            fill(*order.mutable_task(), row.task);
+            order.set_attempt(row.attempt);
+        }
+        it.attempt = row.attempt;
+    }
+    std::vector<std::pair<task_id, std::uint32_t>> over;
+    for (const auto& [task, it] : runs_)
+    {
+        if (listed.contains(task) || it.in_flight)
+        {
+            continue;
+        }
+        const bool known_before = it.confirmed && it.confirmed_at < hold_sent_at_;
+        const bool expired = !it.confirmed && it.give_up && answer.clock_ms > it.call.expires_ms;
+        if (known_before || expired)
+        {
+            over.emplace_back(task, it.attempt);
+        }
+    }
+    for (const auto& [task, attempt] : over)
+    {
+        const bool confirmed = runs_.at(task).confirmed;
+        end_run(task, attempt, confirmed ? schema::run_lapsed : schema::run_expired, 0);
+    }
+}
+
+// ---- calls that are due ----
+
+void endpoint_agent::hold_if_due()
+{
+    const auto now = clock_.now();
+    const bool cursor_moved = acknowledged_end_ > sent_cursor_;
+    if (!known_ || left_ || term_ == 0 || hold_in_flight_ || now < hold_again_at_ ||
+        !(is_busy() || cursor_moved || silent_))
+    {
+        return;
+    }
+    if (look_ == 0 && !unacknowledged_.empty() && now < ends_reported_at_ + acknowledgement_wait)
+    {
+        return;
+    }
+    hold_call call;
+    const bool renews = has_contact() && !silent_ && failed_calls_ == 0 && !runs_.empty();
+    if (renews)
+    {
+        call.expires_ms = endpoint_clock() + absl::ToInt64Milliseconds(options_.longest_lease);
+        lease_until_ =
+            std::max(lease_until_, now + options_.longest_lease * slowest_clock + arrival_margin);
+    }
+    call.token = term_;
+    call.acknowledged_end = acknowledged_end_;
+    call.wait_ms = look_ != 0 || runs_.empty() || silent_ ? 0 : hold_wait_ms;
+    call.endpoint = status_.id;
+    sent_cursor_ = acknowledged_end_;
+    hold_in_flight_ = true;
+    hold_sent_at_ = now;
+    calls_.hold(call);
+}
+
+void endpoint_agent::check_silence()
+{
+    if (!silent_ && failed_calls_ >= silent_after)
+    {
+        silent_ = true;
+        events_.record("endpoint_silent", {{"endpoint", status_.id}});
+        send_state();
+    }
+    const bool answers = known_ && !silent_ && !left_;
+    if (answers || clock_.now() < lease_until_)
+    {
+        return;
+    }
+    // No lease is left; whatever ran has been ended by the endpoint, or died with it.
+    std::vector<std::pair<task_id, std::uint32_t>> over;
+    for (const auto& [task, it] : runs_)
+    {
+        if (!it.in_flight)
+        {
+            over.emplace_back(task, it.attempt);
+        }
+    }
+    for (const auto& [task, attempt] : over)
+    {
+        end_run(task, attempt, schema::run_lapsed, 0);
+    }
+    if (look_ != 0)
+    {
+        report_list();
+    }
+}
+
+void endpoint_agent::tick()
+{
+    check_silence();
+    hold_if_due();
+    if (pending_)
+    {
+        auto report = std::move(*pending_);
+        pending_.reset();
+        fill_state(report);
+        reports_.send_report(std::move(report));
+    }
+}
+
+// ---- reports ----
+
+schema::endpoint_report& endpoint_agent::pending()
+{
+    if (!pending_)
+    {
+        pending_.emplace();
+    }
+    return *pending_;
+}
+
+void endpoint_agent::send_state()
+{
+    pending();
+}
+
+void endpoint_agent::fill_state(schema::endpoint_report& report) const
+{
+    report.set_term(term_);
+    report.set_session(session_);
+    report.set_agent_process(options_.process);
+    report.set_host(options_.host);
+    report.set_known(known_);
+    report.set_endpoint(status_.id);
+    report.set_born_ms(status_.born_ms);
+    report.set_service(status_.service);
+    report.set_data_centre(status_.data_centre);
+    report.set_draining(status_.draining);
+    report.set_silent(silent_);
+    report.set_left(left_);
+    report.set_cpu_milli(static_cast<std::uint32_t>(status_.capacity.cpu_milli));
+    report.set_memory_mb(static_cast<std::uint32_t>(status_.capacity.memory_mb));
+    report.set_gpu(static_cast<std::uint32_t>(status_.capacity.gpu));
+    for (const auto& it : status_.labels)
+    {
+        report.add_labels(it);
+    }
+}
+
+void endpoint_agent::report_list()
+{
+    auto& report = pending();
+    report.set_look(look_);
+    look_ = 0;
+    for (const auto& [task, it] : runs_)
+    {
+        auto& row = *report.add_running();
+        fill(*row.mutable_task(), task);
+        row.set_attempt(it.attempt);
+        row.set_cpu_milli(static_cast<std::uint32_t>(it.takes.cpu_milli));
+        row.set_memory_mb(static_cast<std::uint32_t>(it.takes.memory_mb));
+        row.set_gpu(static_cast<std::uint32_t>(it.takes.gpu));
+        row.set_confirmed(it.confirmed);
+    }
+    // Ends may have been reported to another dispatcher, or got lost with a link.
+    auto& ends = *report.mutable_ends();
+    ends.erase(
+        std::remove_if(ends.begin(), ends.end(), [](const auto& it) { return it.number() != 0; }),
+        ends.end());
+    for (const auto& it : unacknowledged_)
+    {
+        *report.add_ends() = it;
+        report.set_last_end(it.number());
+    }
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/endpoint_table.cpp
@@ -0,0 +1,132 @@
+#include "savoryreach/dispatch/endpoint_table.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+/// Weight of the newest run in the share of failures: three failures in a row set an endpoint
+/// aside, single ones do not.
+constexpr double failure_weight = 0.25;
+constexpr double failure_limit = 0.55;
+/// First time set aside; doubles with each one up to the greatest. Short against the 5 to 7 s that
+/// a fault of an endpoint lasts.
+constexpr absl::Duration first_set_aside = absl::Milliseconds(800);
+constexpr absl::Duration longest_set_aside = absl::Seconds(4);
+/// Runs at once that an endpoint gets when it comes back.
+constexpr std::size_t probe_runs = 1;
+
+} // namespace
+
+void standing::set_aside(absl::Time now)
+{
+    const auto length = first_set_aside * (1U << std::min<std::uint32_t>(set_asides_, 4U));
+    back_at_ = now + std::min(length, longest_set_aside);
+    ++set_asides_;
+    probing_ = true;
+}
+
+void standing::on_success()
+{
+    failure_share_ *= 1.0 - failure_weight;
+    if (probing_)
+    {
+        failure_share_ = 0.0;
+    }
+    probing_ = false;
+    set_asides_ = 0;
+}
+
+void standing::on_failure(absl::Time now)
+{
+    failure_share_ += failure_weight * (1.0 - failure_share_);
+    if (now >= back_at_ && (probing_ || failure_share_ > failure_limit))
+    {
+        set_aside(now);
+    }
+}
+
+void standing::on_refusal(absl::Time now)
+{
+    if (now >= back_at_)
+    {
+        set_aside(now);
+    }
+}
+
+std::size_t standing::allowed_runs(absl::Time now) const
+{
+    if (now < back_at_)
+    {
+        return 0;
+    }
+    return probing_ ? probe_runs : SIZE_MAX;
+}
+
+bool endpoint::has_room(const room& wanted) const
+{
+    return used.cpu_milli + wanted.cpu_milli <= capacity.cpu_milli &&
+           used.memory_mb + wanted.memory_mb <= capacity.memory_mb &&
+           used.gpu + wanted.gpu <= capacity.gpu;
+}
+
+bool endpoint::is_usable() const
+{
+    return !peer.empty() && listed && registered && !draining && !silent && !left;
+}
+
+void endpoint::add(const task_id& task, run it)
+{
+    assert(!runs.contains(task));
+    used.cpu_milli += it.takes.cpu_milli;
+    used.memory_mb += it.takes.memory_mb;
+    used.gpu += it.takes.gpu;
+    runs.emplace(task, std::move(it));
+}
+
+void endpoint::remove(const task_id& task)
+{
+    const auto it = runs.find(task);
+    if (it == runs.end())
+    {
+        return;
+    }
+    used.cpu_milli -= it->second.takes.cpu_milli;
+    used.memory_mb -= it->second.takes.memory_mb;
+    used.gpu -= it->second.takes.gpu;
+    runs.erase(it);
+}
+
+endpoint& endpoint_table::get(const std::string& host)
+{
+    auto& it = endpoints_[host];
+    if (!it)
+    {
+        it = std::make_unique<endpoint>();
+        it->host = host;
+    }
+    return *it;
+}
+
+endpoint* endpoint_table::find(const std::string& host)
+{
+    const auto it = endpoints_.find(host);
+    return it == endpoints_.end() ? nullptr : it->second.get();
+}
+
+endpoint* endpoint_table::find_peer(const std::string& peer)
+{
+    for (const auto& [host, it] : endpoints_)
+    {
+        if (it->peer == peer)
+        {
+            return it.get();
+        }
+    }
+    return nullptr;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/fleet_store.cpp
@@ -0,0 +1,41 @@
+#include "savoryreach/dispatch/fleet_store.hpp"
+
+namespace savoryreach::dispatch
+{
+
+void fleet_store::apply(const schema::log_entry& entry)
+{
+    const auto& command = entry.command();
+    if (command.has_fleet_config() && command.fleet_config().version() > config_.version())
+    {
+        config_ = command.fleet_config();
+    }
+    for (const auto& it : command.host_change().joined())
+    {
+        hosts_.insert(it);
+    }
+    for (const auto& it : command.host_change().left())
+    {
+        hosts_.erase(it);
+    }
+}
+
+void fleet_store::save(schema::ledger_snapshot& snapshot) const
+{
+    auto& state = *snapshot.mutable_fleet();
+    *state.mutable_config() = config_;
+    for (const auto& it : hosts_)
+    {
+        state.add_hosts(it);
+    }
+}
+
+bool fleet_store::load(const schema::ledger_snapshot& snapshot)
+{
+    config_ = snapshot.fleet().config();
+    hosts_.clear();
+    hosts_.insert(snapshot.fleet().hosts().begin(), snapshot.fleet().hosts().end());
+    return true;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/fleet_store.hpp
@@ -0,0 +1,35 @@
+#ifndef SAVORYREACH_DISPATCH_FLEET_STORE_HPP
+#define SAVORYREACH_DISPATCH_FLEET_STORE_HPP
+
+#include "savoryreach/keeper/log_client.hpp"
+#include "schema/generated/dispatch.pb.h"
+
+#include <absl/container/btree_set.h>
+
+#include <cstdint>
+#include <string>
+
+namespace savoryreach::dispatch
+{
+
+/// What the core replicates: the newest configuration, and the hosts whose endpoints may have tasks
+/// running. Changes only by committed log entries.
+class fleet_store final : public keeper::log_client
+{
+public:
+    void apply(const schema::log_entry& entry) override;
+    void save(schema::ledger_snapshot& snapshot) const override;
+    bool load(const schema::ledger_snapshot& snapshot) override;
+
+    /// Version 0 while there is none.
+    [[nodiscard]] const schema::fleet_config& config() const { return config_; }
+    [[nodiscard]] const absl::btree_set<std::string>& hosts() const { return hosts_; }
+
+private:
+    schema::fleet_config config_;
+    absl::btree_set<std::string> hosts_;
+};
+
+} // namespace savoryreach::dispatch
+
+#endif
--- /dev/null
+++ b/savoryreach/dispatch/front_desk.cpp
@@ -0,0 +1,182 @@
+#include "savoryreach/dispatch/front_desk.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+/// A request without an answer is passed on again after this time, in case a message was lost with
+/// a link. The dispatcher answers a job when it ends, which most do within this time.
+constexpr absl::Duration resend_after = absl::Milliseconds(900);
+/// A client that was refused for want of a dispatcher is asked to return after this time.
+constexpr std::uint32_t no_dispatcher_retry_ms = 1000;
+
+} // namespace
+
+front_desk::front_desk(const base::clock& clock, request_port& port, observe::event_sink& events,
+                       std::uint64_t first_number)
+    : clock_(clock), port_(port), events_(events), last_number_(first_number), lost_at_(clock.now())
+{
+}
+
+std::uint64_t front_desk::take(schema::front_request request, absl::Time answer_by,
+                               answer_handler on_answer)
+{
+    const auto number = ++last_number_;
+    const auto now = clock_.now();
+    request.set_number(number);
+    auto& it = requests_[number];
+    it.request = std::move(request);
+    it.read_at = now;
+    it.answer_by = answer_by;
+    it.handler = std::move(on_answer);
+    if (dispatcher_)
+    {
+        pass_on(it);
+    }
+    else if (now >= lost_at_ + waits_for_dispatcher)
+    {
+        schema::front_answer answer;
+        answer.set_kind(schema::answer_not_ready);
+        answer.set_retry_after_ms(no_dispatcher_retry_ms);
+        answer.set_reason("no dispatcher");
+        finish(number, answer);
+    }
+    return number;
+}
+
+void front_desk::pass_on(open_request& it)
+{
+    const auto now = clock_.now();
+    it.passed_on = true;
+    it.resend_at = now + resend_after;
+    auto request = it.request;
+    request.set_term(dispatcher_->term);
+    if (request.has_submit())
+    {
+        auto& submit = *request.mutable_submit();
+        submit.set_age_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - it.read_at)));
+        submit.set_remaining_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            absl::ToInt64Milliseconds(it.answer_by - now), 0, UINT32_MAX)));
+    }
+    port_.send_request(dispatcher_->name, std::move(request));
+}
+
+void front_desk::abandon(std::uint64_t number)
+{
+    const auto it = requests_.find(number);
+    if (it == requests_.end())
+    {
+        return;
+    }
+    if (it->second.passed_on && dispatcher_)
+    {
+        schema::front_request request;
+        request.set_number(number);
+        request.set_term(dispatcher_->term);
+        request.set_abandoned(true);
+        port_.send_request(dispatcher_->name, std::move(request));
+    }
+    requests_.erase(it);
+}
+
+void front_desk::on_answer(const schema::front_answer& answer)
+{
+    finish(answer.number(), answer);
+}
+
+void front_desk::finish(std::uint64_t number, const schema::front_answer& answer)
+{
+    const auto it = requests_.find(number);
+    if (it == requests_.end())
+    {
+        return;
+    }
+    auto handler = std::move(it->second.handler);
+    requests_.erase(it);
+    handler(answer);
+}
+
+void front_desk::set_dispatcher(const std::optional<dispatcher_ref>& who)
+{
+    if (who == dispatcher_)
+    {
+        return;
+    }
+    if (dispatcher_ && !who)
+    {
+        lost_at_ = clock_.now();
+    }
+    dispatcher_ = who;
+    events_.record("dispatcher_known", {{"peer", who ? who->name : ""},
+                                        {"term", absl::StrCat(who ? who->term : 0)},
+                                        {"pending", absl::StrCat(requests_.size())}});
+    if (dispatcher_)
+    {
+        for (auto& [number, it] : requests_)
+        {
+            pass_on(it);
+        }
+    }
+}
+
+void front_desk::tick()
+{
+    const auto now = clock_.now();
+    std::vector<std::pair<std::uint64_t, bool>> over;
+    for (auto& [number, it] : requests_)
+    {
+        const bool refused =
+            !dispatcher_ && !it.passed_on && now >= lost_at_ + waits_for_dispatcher;
+        if (now >= it.answer_by || refused)
+        {
+            over.emplace_back(number, it.passed_on);
+        }
+        else if (dispatcher_ && now >= it.resend_at)
+        {
+            pass_on(it);
+        }
+    }
+    for (const auto& [number, passed_on] : over)
+    {
+        schema::front_answer answer;
+        answer.set_kind(passed_on ? schema::answer_unknown : schema::answer_not_ready);
+        answer.set_retry_after_ms(no_dispatcher_retry_ms);
+        answer.set_reason(passed_on ? "no answer in time" : "no dispatcher");
+        if (passed_on)
+        {
+            // Nobody waits for the job any more.
+            const auto handler = std::move(requests_.at(number).handler);
+            abandon(number);
+            handler(answer);
+            continue;
+        }
+        finish(number, answer);
+    }
+}
+
+absl::Time front_desk::next_deadline() const
+{
+    auto out = absl::InfiniteFuture();
+    for (const auto& [number, it] : requests_)
+    {
+        out = std::min(out, it.answer_by);
+        if (dispatcher_)
+        {
+            out = std::min(out, it.resend_at);
+        }
+        else if (!it.passed_on)
+        {
+            out = std::min(out, lost_at_ + waits_for_dispatcher);
+        }
+    }
+    return out;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/job_board.cpp
@@ -0,0 +1,125 @@
+#include "savoryreach/dispatch/job_board.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+constexpr double milli = 1000.0;
+
+double waiting_work(const job& it)
+{
+    double sum = 0.0;
+    for (const auto& of : it.steps)
+    {
+        sum += task_work(of) * static_cast<double>(of.waiting);
+    }
+    return sum;
+}
+
+bool has_waiting(const job& it)
+{
+    return std::ranges::any_of(it.steps, [](const step& of) { return of.waiting > 0; });
+}
+
+} // namespace
+
+double task_work(const step& of)
+{
+    return static_cast<double>(of.takes.cpu_milli) / milli * absl::ToDoubleSeconds(of.declared);
+}
+
+job& job_board::add(job it)
+{
+    const auto id = it.id;
+    auto& slot = jobs_[id];
+    assert(!slot);
+    slot = std::make_unique<job>(std::move(it));
+    work_waiting_ += waiting_work(*slot);
+    if (has_waiting(*slot))
+    {
+        waiting_.insert({slot->objective_at, id});
+    }
+    return *slot;
+}
+
+job* job_board::find(std::uint64_t id)
+{
+    const auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+void job_board::remove(std::uint64_t id)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end())
+    {
+        return;
+    }
+    work_waiting_ = std::max(0.0, work_waiting_ - waiting_work(*it->second));
+    waiting_.erase({it->second->objective_at, id});
+    jobs_.erase(it);
+    if (waiting_.empty())
+    {
+        work_waiting_ = 0.0; // no rounding errors stay
+    }
+}
+
+void job_board::clear()
+{
+    jobs_.clear();
+    waiting_.clear();
+    work_waiting_ = 0.0;
+}
+
+void job_board::add_waiting(job& it, step& of, int n)
+{
+    assert(n >= 0 || of.waiting >= static_cast<std::size_t>(-n));
+    of.waiting += static_cast<std::size_t>(n);
+    work_waiting_ = std::max(0.0, work_waiting_ + task_work(of) * n);
+    if (has_waiting(it))
+    {
+        waiting_.insert({it.objective_at, it.id});
+    }
+    else
+    {
+        waiting_.erase({it.objective_at, it.id});
+    }
+}
+
+std::vector<std::uint64_t> job_board::waiting_order() const
+{
+    std::vector<std::uint64_t> out;
+    out.reserve(waiting_.size());
+    for (const auto& [at, id] : waiting_)
+    {
+        out.push_back(id);
+    }
+    return out;
+}
+
+double job_board::work_ahead(absl::Time objective_at) const
+{
+    double sum = 0.0;
+    for (const auto& [at, id] : waiting_)
+    {
+        if (at > objective_at)
+        {
+            break;
+        }
+        sum += waiting_work(*jobs_.at(id));
+    }
+    return sum;
+}
+
+std::size_t job_board::unstarted(const std::string& queue) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(jobs_, [&queue](const auto& it)
+                              { return !it.second->started && it.second->queue.name() == queue; }));
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/queue_router.cpp
@@ -0,0 +1,34 @@
+#include "savoryreach/dispatch/queue_router.hpp"
+
+#include <algorithm>
+
+namespace savoryreach::dispatch
+{
+
+void queue_router::load(const schema::fleet_config& config)
+{
+    by_host_.clear();
+    for (const auto& it : config.queues())
+    {
+        by_host_[it.host()].push_back(it);
+    }
+    for (auto& [host, queues] : by_host_)
+    {
+        std::ranges::sort(queues, std::ranges::greater(),
+                          [](const auto& it) { return it.path_prefix().size(); });
+    }
+}
+
+const schema::queue_config* queue_router::find(const std::string& host, std::string_view path) const
+{
+    const auto it = by_host_.find(host);
+    if (it == by_host_.end())
+    {
+        return nullptr;
+    }
+    const auto queue = std::ranges::find_if(it->second, [path](const auto& q)
+                                            { return path.starts_with(q.path_prefix()); });
+    return queue == it->second.end() ? nullptr : &*queue;
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/sources.cmake
@@ -0,0 +1,15 @@
+target_sources(savoryreach PRIVATE
+  dispatch/admission.cpp
+  dispatch/core_locator.cpp
+  dispatch/core_planner.cpp
+  dispatch/dispatcher.cpp
+  dispatch/dispatcher_endpoints.cpp
+  dispatch/endpoint_agent.cpp
+  dispatch/endpoint_table.cpp
+  dispatch/fleet_store.cpp
+  dispatch/front_desk.cpp
+  dispatch/job_board.cpp
+  dispatch/placement.cpp
+  dispatch/queue_router.cpp
+  dispatch/speed_model.cpp
+  dispatch/task_id.cpp)
--- /dev/null
+++ b/savoryreach/dispatch/speed_model.cpp
@@ -0,0 +1,86 @@
+#include "savoryreach/dispatch/speed_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savoryreach::dispatch
+{
+namespace
+{
+
+/// Weight of a new sample once there are many: about the last 12 tasks count, which is a second of
+/// short tasks.
+constexpr double steady_weight = 0.08;
+/// A queue's bias follows slower than the speeds, so that one slow endpoint does not shift it.
+constexpr double bias_weight = 0.02;
+/// Samples after which the weight of a queue's bias is steady.
+constexpr double bias_warm_up = 50.0;
+/// Greatest ratio that one sample may claim, either way.
+constexpr double largest_log_ratio = 3.0;
+
+double log_ratio(absl::Duration declared, absl::Duration actual)
+{
+    const auto floor = absl::Milliseconds(1);
+    const double ratio = absl::FDivDuration(std::max(actual, floor), std::max(declared, floor));
+    return std::clamp(std::log(ratio), -largest_log_ratio, largest_log_ratio);
+}
+
+} // namespace
+
+double speed_model::log_speed(const std::string& endpoint) const
+{
+    const auto it = endpoints_.find(endpoint);
+    return it == endpoints_.end() ? 0.0 : it->second.log_value;
+}
+
+double speed_model::log_bias(const std::string& queue) const
+{
+    const auto it = queues_.find(queue);
+    return it == queues_.end() ? 0.0 : it->second.log_value;
+}
+
+void speed_model::learn(const std::string& endpoint, const std::string& queue,
+                        absl::Duration declared, absl::Duration actual)
+{
+    const double sample = log_ratio(declared, actual);
+    auto& host = endpoints_[endpoint];
+    auto& bias = queues_[queue];
+    const double host_sample = bias.log_value - sample;
+    ++host.samples;
+    const double weight = std::max(steady_weight, 1.0 / (1.0 + host.samples));
+    host.log_value += weight * (host_sample - host.log_value);
+    ++bias.samples;
+    const double slow = std::max(bias_weight, 1.0 / (bias_warm_up + bias.samples));
+    bias.log_value += slow * (sample + host.log_value - bias.log_value);
+}
+
+void speed_model::learn_at_least(const std::string& endpoint, const std::string& queue,
+                                 absl::Duration declared, absl::Duration elapsed)
+{
+    const double bound = log_bias(queue) - log_ratio(declared, elapsed);
+    auto& host = endpoints_[endpoint];
+    host.log_value = std::min(host.log_value, bound);
+}
+
+void speed_model::forget(const std::string& endpoint)
+{
+    endpoints_.erase(endpoint);
+}
+
+double speed_model::speed(const std::string& endpoint) const
+{
+    return std::exp(log_speed(endpoint));
+}
+
+absl::Duration speed_model::expected(const std::string& endpoint, const std::string& queue,
+                                     absl::Duration declared) const
+{
+    return declared * std::exp(log_bias(queue) - log_speed(endpoint));
+}
+
+absl::Duration speed_model::expected(const std::string& queue, absl::Duration declared) const
+{
+    return declared * std::exp(log_bias(queue));
+}
+
+} // namespace savoryreach::dispatch
--- /dev/null
+++ b/savoryreach/dispatch/task_id.cpp
@@ -0,0 +1,29 @@
+#include "savoryreach/dispatch/task_id.hpp"
+
+#include <absl/strings/str_format.h>
+
+#include <charconv>
+
+namespace savoryreach::dispatch
+{
+
+std::string job_text(std::uint64_t job)
+{
+    return absl::StrFormat("%016x", job);
+}
+
+bool parse_job_id(std::string_view path, std::string_view prefix, std::uint64_t& id)
+{
+    constexpr std::size_t digits = 16;
+    constexpr int base = 16;
+    if (path.size() != prefix.size() + digits || !path.starts_with(prefix))
+    {
+        return false;
+    }
+    const auto text = path.substr(prefix.size());
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), id, base);
+    // The text form is unique, so that a task has one name.
+    return ec == std::errc() && end == text.data() + text.size() && job_text(id) == text;
+}
+
+} // namespace savoryreach::dispatch
--- a/savoryreach/keeper/ledger.cpp
+++ b/savoryreach/keeper/ledger.cpp
@@ -50,6 +50,9 @@
     case schema::command::kApplyConfig:
         outcome.config = config_.apply(command.apply_config().declaration(), config_changed);
         break;
+    // The state of a dispatcher's core is not part of a ledger.
+    case schema::command::kFleetConfig:
+    case schema::command::kHostChange:
     case schema::command::kNoOp:
     case schema::command::kKeepers:
     case schema::command::BODY_NOT_SET:
--- a/savoryreach/keeper/replicated_log.hpp
+++ b/savoryreach/keeper/replicated_log.hpp
@@ -73,6 +73,8 @@
     [[nodiscard]] std::uint64_t applied_index() const { return applied_index_; }
     [[nodiscard]] const keeper_members& members() const { return members_; }
     [[nodiscard]] std::uint64_t match_index(const std::string& name) const;
+    /// For a leader: when the latest round that \p name has answered was sent.
+    [[nodiscard]] absl::Time last_contact(const std::string& name) const;
 
 private:
     enum class role
--- a/savoryreach/keeper/replicated_log_commit.cpp
+++ b/savoryreach/keeper/replicated_log_commit.cpp
@@ -41,6 +41,11 @@
     return replicator_.match_index(name);
 }
 
+absl::Time replicated_log::last_contact(const std::string& name) const
+{
+    return replicator_.last_contact(name);
+}
+
 std::optional<std::uint64_t> replicated_log::propose(schema::command command)
 {
     if (!is_leader() || failed_)
--- a/savoryreach/keeper/replicator.cpp
+++ b/savoryreach/keeper/replicator.cpp
@@ -285,16 +285,18 @@
 
 absl::Time replicator::quorum_contact() const
 {
-    return members_.quorum_value<absl::Time>(
-        [this](const std::string& name)
-        {
-            if (name == self_)
-            {
-                return ports_.clock.now();
-            }
-            const auto it = peers_.find(name);
-            return it == peers_.end() ? absl::InfinitePast() : it->second.acked_round_sent;
-        });
+    return members_.quorum_value<absl::Time>([this](const std::string& name)
+                                             { return last_contact(name); });
+}
+
+absl::Time replicator::last_contact(const std::string& name) const
+{
+    if (name == self_)
+    {
+        return ports_.clock.now();
+    }
+    const auto it = peers_.find(name);
+    return it == peers_.end() ? absl::InfinitePast() : it->second.acked_round_sent;
 }
 
 std::uint64_t replicator::match_index(const std::string& name) const
--- a/savoryreach/keeper/replicator.hpp
+++ b/savoryreach/keeper/replicator.hpp
@@ -50,6 +50,8 @@
     /// The latest sending time of a round that a quorum of voters acknowledged.
     [[nodiscard]] absl::Time quorum_contact() const;
     [[nodiscard]] std::uint64_t match_index(const std::string& name) const;
+    /// When the latest round that \p name has acknowledged was sent.
+    [[nodiscard]] absl::Time last_contact(const std::string& name) const;
     /// True when the keeper has answered lately and holds everything up to \p index.
     [[nodiscard]] bool is_caught_up(const std::string& name, std::uint64_t index) const;
 
--- /dev/null
+++ b/savoryreach/net/link.cpp
@@ -0,0 +1,146 @@
+#include "savoryreach/net/link.hpp"
+
+namespace savoryreach::net
+{
+namespace
+{
+
+/// A peer that reads so slowly that this much waits for it is cut off; bytes. A snapshot of the
+/// core's state and a second of orders fit.
+constexpr std::size_t max_queued_bytes = 16UL * 1024 * 1024;
+
+} // namespace
+
+link::link(boost::asio::ip::tcp::socket socket, callbacks calls, const base::clock& clock)
+    : socket_(std::move(socket)), calls_(std::move(calls)), clock_(clock), created_at_(clock.now()),
+      heard_at_(created_at_), sent_at_(created_at_)
+{
+}
+
+void link::dial(const boost::asio::ip::tcp::endpoint& to)
+{
+    socket_.async_connect(to,
+                          [self = shared_from_this()](const boost::system::error_code& ec)
+                          {
+                              if (self->closed_)
+                              {
+                                  return;
+                              }
+                              if (ec)
+                              {
+                                  self->close(ec.message());
+                                  return;
+                              }
+                              self->start();
+                              self->calls_.opened(*self);
+                          });
+}
+
+void link::start()
+{
+    boost::system::error_code ec;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    open_ = true;
+    heard_at_ = clock_.now();
+    read();
+    flush();
+}
+
+void link::read()
+{
+    socket_.async_read_some(
+        boost::asio::buffer(chunk_),
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n)
+        {
+            if (self->closed_)
+            {
+                return;
+            }
+            if (ec)
+            {
+                self->close(ec.message());
+                return;
+            }
+            self->heard_at_ = self->clock_.now();
+            self->decoder_.feed({self->chunk_.data(), n});
+            while (!self->closed_)
+            {
+                const auto message = self->decoder_.next();
+                if (!message)
+                {
+                    break;
+                }
+                self->calls_.received(*self, *message);
+            }
+            if (!self->closed_ && self->decoder_.error())
+            {
+                self->close(self->decoder_.error()->text);
+            }
+            if (!self->closed_)
+            {
+                self->read();
+            }
+        });
+}
+
+void link::send(const schema::envelope& message)
+{
+    if (closed_)
+    {
+        return;
+    }
+    append_frame(queued_, message);
+    sent_at_ = clock_.now();
+    if (queued_.size() > max_queued_bytes)
+    {
+        close("the peer reads too slowly");
+        return;
+    }
+    if (!flush_posted_ && open_ && writing_.empty())
+    {
+        flush_posted_ = true;
+        boost::asio::post(socket_.get_executor(),
+                          [self = shared_from_this()]
+                          {
+                              self->flush_posted_ = false;
+                              self->flush();
+                          });
+    }
+}
+
+void link::flush()
+{
+    if (closed_ || !open_ || !writing_.empty() || queued_.empty())
+    {
+        return;
+    }
+    writing_.swap(queued_);
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(writing_),
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t)
+        {
+            self->writing_.clear();
+            if (ec)
+            {
+                self->close(ec.message());
+                return;
+            }
+            self->flush();
+        });
+}
+
+void link::close(const std::string& why)
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    close_reason_ = why;
+    boost::system::error_code ec;
+    socket_.close(ec);
+    const auto self = shared_from_this();
+    calls_.closed(*self);
+}
+
+} // namespace savoryreach::net
--- a/savoryreach/net/sources.cmake
+++ b/savoryreach/net/sources.cmake
@@ -1,5 +1,7 @@
 target_sources(savoryreach PRIVATE
   net/frame.cpp
+  net/link.cpp
+  net/link_hub.cpp
   net/session.cpp
   net/tcp_connection.cpp
   net/tcp_transport.cpp)
