Learn slowness from the middle run, set aside a third at most, pass members on, refuse no repeated request

Ruled out: runs that are never settled (the load line shows none). Change: slowness is taken from the middle one of three or more runs, gradually; at most a third of the endpoints is set aside, and probed ones count a tenth; a front passes new members on; a request that was passed on before is accepted or joined, never refused.

--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -225,7 +225,11 @@
     switch (message.body_case())
     {
     case schema::envelope::kCoreView:
-        locator_.on_view(from.name, message.core_view(), clock_.now());
+        if (locator_.on_view(from.name, message.core_view(), clock_.now()))
+        {
+            // Those that know only this process learn the members from it.
+            announce();
+        }
         break;
     case schema::envelope::kFrontRequest:
         if (is_dispatcher())
--- a/savoryreach/dispatch/core_locator.cpp
+++ b/savoryreach/dispatch/core_locator.cpp
@@ -4,9 +4,24 @@
 
 namespace savoryreach::dispatch
 {
+namespace
+{
 
-void core_locator::on_view(const std::string& from, const schema::core_view& view, absl::Time now)
+absl::btree_set<std::string> addresses_of(const std::vector<schema::core_address>& members)
 {
+    absl::btree_set<std::string> out;
+    for (const auto& it : members)
+    {
+        out.insert(it.address());
+    }
+    return out;
+}
+
+} // namespace
+
+bool core_locator::on_view(const std::string& from, const schema::core_view& view, absl::Time now)
+{
+    const auto before = addresses_of(members_);
     // The leader's own list beats one that was passed on.
     if (view.members_size() > 0 &&
         (view.term() > members_term_ || (view.term() == members_term_ && view.serving())))
@@ -30,6 +45,7 @@
     {
         dispatcher_.reset();
     }
+    return addresses_of(members_) != before;
 }
 
 void core_locator::on_down(const std::string& peer)
@@ -47,11 +63,7 @@
 
 std::vector<std::string> core_locator::addresses(absl::Time now) const
 {
-    absl::btree_set<std::string> out;
-    for (const auto& it : members_)
-    {
-        out.insert(it.address());
-    }
+    auto out = addresses_of(members_);
     if (!dispatcher(now))
     {
         out.insert(seeds_.begin(), seeds_.end());
--- a/savoryreach/dispatch/core_locator.hpp
+++ b/savoryreach/dispatch/core_locator.hpp
@@ -33,7 +33,8 @@
     /// Other first addresses were configured.
     void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
     /// Takes what the linked process \p from says.
-    void on_view(const std::string& from, const schema::core_view& view, absl::Time now);
+    /// True when the members that it knows are others now.
+    bool on_view(const std::string& from, const schema::core_view& view, absl::Time now);
     /// The link to \p peer is gone.
     void on_down(const std::string& peer);
 
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -106,7 +106,7 @@
     switch (request.body_case())
     {
     case schema::front_request::kSubmit:
-        submit(who, request.submit());
+        submit(who, request.submit(), request.may_have_run());
         break;
     case schema::front_request::kCancel:
         cancel(who, request.cancel());
@@ -144,7 +144,7 @@
 
 // ---- submission ----
 
-void dispatcher::submit(const waiter& who, const schema::submit_job& request)
+void dispatcher::submit(const waiter& who, const schema::submit_job& request, bool may_have_run)
 {
     if (store_.config().version() == 0)
     {
@@ -182,7 +182,7 @@
         refuse(who, id, not_ready_retry, *why);
         return;
     }
-    accept(who, request, *queue);
+    accept(who, request, *queue, may_have_run);
 }
 
 std::optional<std::string> dispatcher::refusal_by_spec(const schema::job_spec& spec) const
@@ -235,7 +235,7 @@
 }
 
 void dispatcher::accept(const waiter& who, const schema::submit_job& request,
-                        const schema::queue_config& queue)
+                        const schema::queue_config& queue, bool may_have_run)
 {
     const auto now = clock_.now();
     job it;
@@ -278,7 +278,7 @@
         decide_admission({board_.work_ahead(it.objective_at), board_.work_waiting(), it.work, 0.0,
                           rate(), it.chain, it.objective_at - now},
                          now);
-    if (!verdict.accepted && may_start())
+    if (!verdict.accepted && !may_have_run && may_start())
     {
         refuse(who, it.id, verdict.retry_at - now,
                absl::StrCat("expected wait of ", ms_text(verdict.expected_wait), " ms"));
@@ -531,10 +531,13 @@
     const auto now = clock_.now();
     for (const auto& [host, it] : endpoints_.all())
     {
-        if (it->is_usable() && it->health.allowed_runs(now) > 1)
+        if (it->is_usable() && it->health.allowed_runs(now) > 0)
         {
             constexpr double milli = 1000.0;
-            sum += static_cast<double>(it->capacity.cpu_milli) / milli * speeds_.speed(host);
+            constexpr double probed_share = 0.1; // one run at a time, of about ten
+            const double share = it->health.allowed_runs(now) > 1 ? 1.0 : probed_share;
+            sum +=
+                static_cast<double>(it->capacity.cpu_milli) / milli * speeds_.speed(host) * share;
         }
     }
     return sum;
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -102,9 +102,9 @@
         std::uint32_t last_attempt = 0;
     };
 
-    void submit(const waiter& who, const schema::submit_job& request);
+    void submit(const waiter& who, const schema::submit_job& request, bool may_have_run);
     void accept(const waiter& who, const schema::submit_job& request,
-                const schema::queue_config& queue);
+                const schema::queue_config& queue, bool may_have_run);
     [[nodiscard]] std::optional<std::string> refusal_by_spec(const schema::job_spec& spec) const;
     void refuse(const waiter& who, std::uint64_t id, absl::Duration retry_after,
                 const std::string& why);
@@ -137,7 +137,9 @@
     void place_job(job& it, absl::flat_hash_map<std::string, std::int64_t>& full);
     void start(job& it, std::uint32_t step_number, std::uint32_t index, endpoint& place);
     void watch_runs();
+    void note_failure(endpoint& it);
     void expire();
+    void record_load();
     void flush_orders();
     schema::endpoint_orders& orders_for(endpoint& it);
     [[nodiscard]] bool may_start() const;
@@ -158,6 +160,7 @@
     std::uint64_t last_session_ = 0;
     bool place_due_ = false;
     absl::Time watch_at_ = absl::InfinitePast();
+    absl::Time load_at_ = absl::InfinitePast();
     absl::Time orphans_until_ = absl::InfinitePast();
     absl::btree_map<std::string, schema::endpoint_orders> orders_; ///< by host
     /// Number of runs of each task that may be under way, on any endpoint.
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 
 namespace savoryreach::dispatch
 {
@@ -16,11 +17,15 @@
 /// A run that takes this many times its expected time, and a fixed time more, is taken for hung: it
 /// is stopped and started elsewhere. Slow endpoints take up to 6.5 times as long; the fixed part
 /// spares short tasks on them.
-constexpr double hung_factor = 3.5;
-constexpr absl::Duration hung_margin = absl::Milliseconds(300);
-/// A run that takes this many times its expected time shows that its endpoint has become slow.
-constexpr double slow_factor = 2.0;
+constexpr double hung_factor = 5.0;
+constexpr absl::Duration hung_margin = absl::Milliseconds(400);
+/// When the middle one of an endpoint's runs takes this many times its expected time, the endpoint
+/// has become slow. A single run shows nothing: declared times are up to 3 times off.
+constexpr double slow_factor = 1.5;
 constexpr absl::Duration slow_margin = absl::Milliseconds(40);
+constexpr std::size_t least_runs_for_slowness = 3;
+/// At most one in this many endpoints is set aside for failures: with more the fault is not theirs.
+constexpr std::size_t set_aside_divisor = 3;
 /// An order to stop that is not answered is repeated after this time.
 constexpr absl::Duration stop_again_after = absl::Milliseconds(500);
 /// Attempt numbers that are left out after a rejected start: more than the starts of a task.
@@ -93,7 +98,7 @@
     auto& it = endpoints_.get(report.host());
     // An agent that has lost sight of the dispatcher begins anew: orders and reports between them
     // may be lost.
-    if (it.peer != peer || (report.session() == 0 && it.listed))
+    if (it.peer != peer || report.session() == 0)
     {
         it.peer = peer;
         it.agent_process = report.agent_process();
@@ -343,7 +348,7 @@
         std::ranges::find(owner->failed_hosts, it.host) == owner->failed_hosts.end();
     if (first_here && (owner->failed_hosts.empty() || owner->had_success))
     {
-        it.health.on_failure(clock_.now());
+        note_failure(it);
     }
     if (first_here)
     {
@@ -437,6 +442,8 @@
     for (auto& [host, it] : endpoints_.all())
     {
         std::vector<std::pair<task_id, std::uint32_t>> stops;
+        std::vector<std::pair<double, const run*>> progress;
+        std::size_t hung_here = 0;
         for (auto& [id, what] : it->runs)
         {
             if (what.stopping)
@@ -461,10 +468,7 @@
             }
             const auto elapsed = now - what.confirmed_at;
             const auto expected = speeds_.expected(host, what.queue, what.declared);
-            if (elapsed > expected * slow_factor + slow_margin)
-            {
-                speeds_.learn_at_least(host, what.queue, what.declared, elapsed);
-            }
+            progress.emplace_back(absl::FDivDuration(elapsed - slow_margin, expected), &what);
             if (elapsed > speeds_.expected(what.queue, what.declared) * hung_factor + hung_margin)
             {
                 stops.emplace_back(id, what.attempt);
@@ -472,12 +476,26 @@
                 {
                     hung->avoided.push_back(host);
                 }
-                it->health.on_failure(now);
+                ++hung_here;
                 events_.record("run_hung", {{"submission", job_text(id.job)},
                                             {"task", absl::StrCat(id.step, ".", id.index)},
                                             {"peer", host}});
             }
         }
+        if (progress.size() >= least_runs_for_slowness)
+        {
+            const auto middle = progress.begin() + static_cast<std::ptrdiff_t>(progress.size() / 2);
+            std::ranges::nth_element(progress, middle, {}, &std::pair<double, const run*>::first);
+            if (middle->first > slow_factor)
+            {
+                const auto& what = *middle->second;
+                speeds_.learn_slowness(host, what.queue, what.declared, now - what.confirmed_at);
+            }
+        }
+        if (hung_here > 1)
+        {
+            note_failure(*it);
+        }
         for (const auto& [id, attempt] : stops)
         {
             stop_run(*it, id, attempt);
@@ -485,9 +503,67 @@
     }
 }
 
+void dispatcher::note_failure(endpoint& it)
+{
+    const auto now = clock_.now();
+    const auto aside = static_cast<std::size_t>(
+        std::ranges::count_if(endpoints_.all(), [now](const auto& other)
+                              { return other.second->health.allowed_runs(now) <= 1; }));
+    if (it.health.allowed_runs(now) <= 1 || aside < endpoints_.all().size() / set_aside_divisor)
+    {
+        it.health.on_failure(now);
+    }
+}
+
+/// One line a second on what binds.
+void dispatcher::record_load()
+{
+    const auto now = clock_.now();
+    if (now < load_at_)
+    {
+        return;
+    }
+    load_at_ = now + absl::Seconds(1);
+    room used;
+    room capacity;
+    std::size_t usable = 0;
+    std::size_t unconfirmed = 0;
+    std::size_t stopping = 0;
+    std::string slowest;
+    double least = std::numeric_limits<double>::infinity();
+    for (const auto& [host, it] : endpoints_.all())
+    {
+        usable += it->is_usable() && it->health.allowed_runs(now) > 1 ? 1 : 0;
+        used.cpu_milli += it->used.cpu_milli;
+        capacity.cpu_milli += it->capacity.cpu_milli;
+        for (const auto& [id, what] : it->runs)
+        {
+            unconfirmed += what.is_confirmed() ? 0 : 1;
+            stopping += what.stopping ? 1 : 0;
+        }
+        if (speeds_.speed(host) < least)
+        {
+            least = speeds_.speed(host);
+            slowest = host;
+        }
+    }
+    events_.record("dispatcher_load", {{"jobs", absl::StrCat(board_.size())},
+                                       {"waiting_core_s", absl::StrCat(board_.work_waiting())},
+                                       {"rate", absl::StrCat(rate())},
+                                       {"usable", absl::StrCat(usable)},
+                                       {"endpoints", absl::StrCat(endpoints_.all().size())},
+                                       {"used_milli", absl::StrCat(used.cpu_milli)},
+                                       {"capacity_milli", absl::StrCat(capacity.cpu_milli)},
+                                       {"unconfirmed", absl::StrCat(unconfirmed)},
+                                       {"stopping", absl::StrCat(stopping)},
+                                       {"slowest", slowest},
+                                       {"slowest_speed", absl::StrCat(least)}});
+}
+
 void dispatcher::expire()
 {
     const auto now = clock_.now();
+    record_load();
     std::vector<std::string> gone;
     for (auto& [host, it] : endpoints_.all())
     {
--- a/savoryreach/dispatch/front_desk.cpp
+++ b/savoryreach/dispatch/front_desk.cpp
@@ -54,9 +54,10 @@
 void front_desk::pass_on(open_request& it)
 {
     const auto now = clock_.now();
+    auto request = it.request;
+    request.set_may_have_run(it.passed_on);
     it.passed_on = true;
     it.resend_at = now + resend_after;
-    auto request = it.request;
     request.set_term(dispatcher_->term);
     if (request.has_submit())
     {
--- a/savoryreach/dispatch/speed_model.cpp
+++ b/savoryreach/dispatch/speed_model.cpp
@@ -13,6 +13,8 @@
 constexpr double steady_weight = 0.08;
 /// A queue's bias follows slower than the speeds, so that one slow endpoint does not shift it.
 constexpr double bias_weight = 0.02;
+/// Weight of what running tasks show; it is looked at every 50 ms.
+constexpr double slowness_weight = 0.3;
 /// Samples after which the weight of a queue's bias is steady.
 constexpr double bias_warm_up = 50.0;
 /// Greatest ratio that one sample may claim, either way.
@@ -54,12 +56,15 @@
     bias.log_value += slow * (sample + host.log_value - bias.log_value);
 }
 
-void speed_model::learn_at_least(const std::string& endpoint, const std::string& queue,
+void speed_model::learn_slowness(const std::string& endpoint, const std::string& queue,
                                  absl::Duration declared, absl::Duration elapsed)
 {
     const double bound = log_bias(queue) - log_ratio(declared, elapsed);
     auto& host = endpoints_[endpoint];
-    host.log_value = std::min(host.log_value, bound);
+    if (bound < host.log_value)
+    {
+        host.log_value += slowness_weight * (bound - host.log_value);
+    }
 }
 
 void speed_model::forget(const std::string& endpoint)
--- a/savoryreach/dispatch/speed_model.hpp
+++ b/savoryreach/dispatch/speed_model.hpp
@@ -18,9 +18,9 @@
     /// A task of \p queue with the declared time \p declared took \p actual on \p endpoint.
     void learn(const std::string& endpoint, const std::string& queue, absl::Duration declared,
                absl::Duration actual);
-    /// A task of the declared time runs on \p endpoint since \p elapsed and has not ended: the
-    /// endpoint is at most this fast.
-    void learn_at_least(const std::string& endpoint, const std::string& queue,
+    /// The middle one of the tasks that run on \p endpoint is a task of the declared time, runs
+    /// since \p elapsed and has not ended: the endpoint is hardly faster than that.
+    void learn_slowness(const std::string& endpoint, const std::string& queue,
                         absl::Duration declared, absl::Duration elapsed);
     void forget(const std::string& endpoint);
 
