Hand leadership over at a planned end; bound leases by the asked word; refuse hopeless jobs at once

Fronts stayed until they were killed: the log library's threads held up the exit. Change: agents ask for the dispatcher's word and count from the asking (wait 1.75 s); a leader that ends asks the most advanced follower to stand; a drain stops taking requests after 3.2 s; jobs that would end after three times their objective are refused while nothing of them has run.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -32,7 +32,7 @@
 /// two failed checks of readiness, a second apart.
 constexpr std::chrono::milliseconds stays_reachable(3200);
 /// Before the end of the grace time, what is left is cut off.
-constexpr std::chrono::milliseconds exit_margin(300);
+constexpr std::chrono::milliseconds exit_margin(500);
 constexpr std::chrono::milliseconds drain_check(50);
 /// Interval at which the settings file is read again; it may change without a signal.
 constexpr std::chrono::seconds settings_interval(1);
@@ -149,6 +149,10 @@
             [&](const boost::system::error_code&)
             {
                 const auto now = std::chrono::steady_clock::now();
+                if (now >= earliest)
+                {
+                    api.stop_accepting();
+                }
                 if ((now < earliest || api.open_requests() > 0) && now < latest)
                 {
                     check();
@@ -232,7 +236,9 @@
         return 0;
     }
     daemon::open_buffered_log(chosen->node_name);
-    return role == "front" ? run_front(*chosen, path) : run_agent(*chosen, path);
+    const int code = role == "front" ? run_front(*chosen, path) : run_agent(*chosen, path);
+    // What must last is on disk; the log library's threads are not waited for.
+    std::_Exit(code);
 }
 
 } // namespace
--- a/savoryreach/daemon/agent_node.cpp
+++ b/savoryreach/daemon/agent_node.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr absl::Duration hub_interval = absl::Milliseconds(100);
+/// Interval at which the dispatcher is asked for its word; three fit into its validity.
+constexpr absl::Duration ask_interval = absl::Milliseconds(200);
 /// Longest pause of the loop while something runs, and while nothing does.
 constexpr std::chrono::milliseconds busy_pause(25);
 constexpr std::chrono::milliseconds idle_pause(100);
@@ -102,7 +104,15 @@
     }
     if (const auto who = locator_.dispatcher(now))
     {
-        agent_->on_dispatcher(who->name, who->term, locator_.confirmed_at());
+        agent_->on_dispatcher(who->name, who->term);
+        if (now >= ask_at_)
+        {
+            ask_at_ = now + ask_interval;
+            schema::envelope message;
+            message.mutable_contact()->set_stamp_us(absl::ToUnixMicros(now));
+            message.mutable_contact()->set_term(who->term);
+            hub_->send(base::node_name(who->name), std::move(message));
+        }
     }
     else
     {
@@ -118,6 +128,11 @@
     {
         locator_.on_view(from.name, message.core_view(), clock_.now());
     }
+    if (message.has_contact() && message.contact().is_reply())
+    {
+        agent_->on_contact(message.contact().term(),
+                           absl::FromUnixMicros(message.contact().stamp_us()));
+    }
     if (message.has_endpoint_orders())
     {
         agent_->on_orders(message.endpoint_orders());
--- a/savoryreach/daemon/agent_node.hpp
+++ b/savoryreach/daemon/agent_node.hpp
@@ -60,6 +60,7 @@
     bool turn_posted_ = false;
     bool stopped_ = false;
     absl::Time hub_tick_at_ = absl::InfinitePast();
+    absl::Time ask_at_ = absl::InfinitePast();
 };
 
 } // namespace savoryreach::daemon
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Interval of the leader's word to all linked processes; four fit into its validity.
-constexpr absl::Duration announce_interval = absl::Milliseconds(300);
+constexpr absl::Duration announce_interval = absl::Milliseconds(250);
 /// Interval of the checks of links.
 constexpr absl::Duration hub_interval = absl::Milliseconds(100);
 /// Longest pause of the loop with, and without, a part in the core.
@@ -240,6 +240,14 @@
     case schema::envelope::kFrontAnswer:
         desk_.on_answer(message.front_answer());
         break;
+    case schema::envelope::kContact:
+        if (is_dispatcher() && message.contact().term() == member_->term())
+        {
+            schema::envelope reply = message;
+            reply.mutable_contact()->set_is_reply(true);
+            hub_->send(base::node_name(from.name), std::move(reply));
+        }
+        return;
     case schema::envelope::kEndpointReport:
         dispatcher_->on_report(from.name, message.endpoint_report());
         break;
--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -35,6 +35,7 @@
             read_request();
             return;
         }
+        idle_ = true;
         // The time limit of a request starts with its first byte.
         expire_in(owner_.limits_.idle_timeout_ms);
         stream_.async_read_some(buffer_.prepare(read_bytes),
@@ -45,11 +46,14 @@
                                         self->close();
                                         return;
                                     }
+                                    self->idle_ = false;
                                     self->buffer_.commit(n);
                                     self->read_request();
                                 });
     }
 
+    [[nodiscard]] bool is_idle() const { return idle_; }
+
     void close()
     {
         if (closed_)
@@ -240,6 +244,7 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     exchange* current_ = nullptr;
+    bool idle_ = false; ///< between two requests
     bool keep_alive_ = true;
     unsigned version_ = 11;
     bool closed_ = false;
@@ -294,6 +299,20 @@
         });
 }
 
+void http_service::stop_accepting()
+{
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+    const auto connections = connections_;
+    for (const auto& it : connections)
+    {
+        if (it->is_idle())
+        {
+            it->close();
+        }
+    }
+}
+
 void http_service::stop()
 {
     boost::system::error_code ec;
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -77,6 +77,8 @@
     void set_limits(const http_limits& limits) { limits_ = limits; }
     /// Answers from now on ask the callers to close their connections.
     void drain() { draining_ = true; }
+    /// Takes no more requests: closes the listener and the connections between two requests.
+    void stop_accepting();
     /// Closes the listener and all connections.
     void stop();
 
--- a/savoryreach/daemon/logger.cpp
+++ b/savoryreach/daemon/logger.cpp
@@ -86,6 +86,7 @@
 void open_buffered_log(const std::string& process)
 {
     static const log4cplus::Initializer initializer;
+    log4cplus::setThreadPoolSize(0); // lines are written by the caller
     process_name = process;
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -25,7 +25,10 @@
 constexpr std::uint32_t least_declared_ms = 1;
 /// A refused client of a system without endpoints or configuration is asked to return after this.
 constexpr absl::Duration not_ready_retry = absl::Seconds(1);
+constexpr absl::Duration longest_retry = absl::Seconds(5);
 constexpr std::size_t max_tasks = 10'000;
+/// An answer after this many times the objective is of no use.
+constexpr double late_factor = 3.0;
 
 std::string ms_text(absl::Duration it)
 {
@@ -274,6 +277,9 @@
     const auto objective =
         it.chain * std::max(queue.slack_factor(), 1.0) + absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
+    it.may_have_run = may_have_run;
+    it.useful_until = std::min(it.arrived_at + objective * late_factor,
+                               now + absl::Milliseconds(request.remaining_ms()));
     const auto verdict =
         decide_admission({board_.work_ahead(it.objective_at), board_.work_waiting(), it.work, 0.0,
                           rate(), it.chain, it.objective_at - now},
@@ -310,6 +316,7 @@
             auto& what = of.tasks[n];
             if (const auto end = orphan_ends_.find(id); end != orphan_ends_.end())
             {
+                it.adopted = true;
                 if (end->second == schema::run_done)
                 {
                     what.now = task::state::done;
@@ -328,6 +335,7 @@
                 const auto found = place->runs.find(id);
                 if (found != place->runs.end() && !found->second.stopping)
                 {
+                    it.adopted = true;
                     what.now = task::state::out;
                     what.host = host;
                     what.attempt = found->second.attempt;
@@ -491,11 +499,21 @@
             }
         }
     }
+    const auto now = clock_.now();
     for (const auto& who : it->waiters)
     {
-        answer(who, kind, why);
+        schema::front_answer out;
+        out.set_number(who.number);
+        out.set_kind(kind);
+        out.set_reason(why);
+        if (kind == schema::answer_refused)
+        {
+            const auto drained = absl::Seconds(board_.work_waiting() / std::max(rate(), 1.0));
+            out.set_retry_after_ms(static_cast<std::uint32_t>(
+                absl::ToInt64Milliseconds(std::min(drained, longest_retry))));
+        }
+        port_.answer(who.front, std::move(out));
     }
-    const auto now = clock_.now();
     events_.record("job_ended",
                    {{"submission", job_text(id)},
                     {"queue", it->queue.name()},
@@ -504,7 +522,9 @@
                     {"ms", ms_text(now - it->arrived_at)},
                     {"wait_ms", ms_text(std::min(it->first_start_at, now) - it->arrived_at)},
                     {"late", now > it->objective_at ? "1" : "0"}});
-    ended_[id] = {kind, now + answer_kept_for, attempt};
+    // A refused job may be handed in again.
+    const bool final = kind != schema::answer_refused && kind != schema::answer_unknown;
+    ended_[id] = {final ? kind : schema::answer_unspecified, now + answer_kept_for, attempt};
     ended_order_.push_back(id);
     board_.remove(id);
     place_due_ = true;
@@ -543,6 +563,28 @@
     return sum;
 }
 
+void dispatcher::drop_hopeless()
+{
+    const auto now = clock_.now();
+    std::vector<std::uint64_t> hopeless;
+    for (const auto id : board_.waiting_order())
+    {
+        const auto& it = *board_.find(id);
+        if (!it.started && !it.adopted && now + it.chain > it.useful_until)
+        {
+            hopeless.push_back(id);
+        }
+    }
+    for (const auto id : hopeless)
+    {
+        const auto& it = *board_.find(id);
+        ++counts_.refused;
+        // Nothing has run here; of an earlier dispatcher's starts nothing is known.
+        end_job(id, it.may_have_run ? schema::answer_unknown : schema::answer_refused,
+                "it would end too late to be of use");
+    }
+}
+
 void dispatcher::place_tasks()
 {
     if (!may_start())
@@ -550,6 +592,7 @@
         return;
     }
     place_due_ = false;
+    drop_hopeless();
     absl::flat_hash_map<std::string, std::int64_t> full;
     for (const auto id : board_.waiting_order())
     {
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -81,11 +81,13 @@
     [[nodiscard]] dispatcher_counts counts() const;
     [[nodiscard]] const endpoint_table& endpoints() const { return endpoints_; }
 
-    /// After the last word of the dispatcher an agent renews its endpoint's leases for this long.
-    static constexpr absl::Duration agent_renews_for = absl::Milliseconds(1500);
-    /// When a host without a link can have no more runs: a link may be silent for 1.2 s before it
-    /// is closed, the agent renews leases for 1.5 s, a lease lasts 1 s on a clock that is 2 % slow.
-    static constexpr absl::Duration host_gone_after = absl::Milliseconds(3900);
+    /// An agent gives leases to its endpoint's runs for this long after it asked for the last word
+    /// that it got from the dispatcher. It asks every 200 ms; an outage of a second lets no lease
+    /// end, since the last one lasts a second.
+    static constexpr absl::Duration agent_renews_for = absl::Milliseconds(650);
+    /// When a host without a link can have no more runs: the agent gives leases for 0.65 s, the
+    /// last one lasts 1 s on a clock that is 2 % slow, and 80 ms for timers that fire late.
+    static constexpr absl::Duration host_gone_after = absl::Milliseconds(1750);
     /// A start that was sent takes effect within the longest lease, or not at all.
     static constexpr absl::Duration start_takes_effect = absl::Milliseconds(1150);
 
@@ -106,6 +108,8 @@
     void accept(const waiter& who, const schema::submit_job& request,
                 const schema::queue_config& queue, bool may_have_run);
     [[nodiscard]] std::optional<std::string> refusal_by_spec(const schema::job_spec& spec) const;
+    /// Ends jobs that no task has started of and that can't be of use any more.
+    void drop_hopeless();
     void refuse(const waiter& who, std::uint64_t id, absl::Duration retry_after,
                 const std::string& why);
     void abandon(const waiter& who);
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -228,6 +228,7 @@
             auto& what = of.tasks[id.index];
             if (what.now == task::state::waiting && of.released)
             {
+                owner->adopted = true;
                 what.now = task::state::out;
                 what.host = it.host;
                 what.attempt = row.attempt();
--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -121,13 +121,20 @@
     return clock_.now() < contact_until_;
 }
 
-void endpoint_agent::on_dispatcher(const std::string& name, std::uint64_t term, absl::Time heard_at)
+void endpoint_agent::on_contact(std::uint64_t term, absl::Time asked_at)
+{
+    if (term == term_)
+    {
+        contact_until_ = std::max(contact_until_, asked_at + options_.renews_for);
+    }
+}
+
+void endpoint_agent::on_dispatcher(const std::string& name, std::uint64_t term)
 {
     if (term < term_)
     {
         return;
     }
-    contact_until_ = std::max(contact_until_, heard_at + options_.renews_for);
     if (term != term_ || name != dispatcher_)
     {
         dispatcher_ = name;
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -33,7 +33,7 @@
     std::string host;
     std::uint64_t process = 0;    ///< random per process
     absl::Duration longest_lease; ///< of a run; the endpoint shortens longer ones
-    absl::Duration renews_for;    ///< after the last word of the dispatcher
+    absl::Duration renews_for;    ///< after the dispatcher was asked for its last word
 };
 
 /// All decisions of the process beside an endpoint: it carries orders to the endpoint, keeps the
@@ -50,8 +50,10 @@
     /// The endpoint with \p id says that it ends.
     void on_leave(const std::string& id);
 
-    /// The dispatcher of \p term gave its word at \p heard_at; a new one gets a report.
-    void on_dispatcher(const std::string& name, std::uint64_t term, absl::Time heard_at);
+    /// The dispatcher of \p term is known; a new one gets a report.
+    void on_dispatcher(const std::string& name, std::uint64_t term);
+    /// The dispatcher of \p term was asked at \p asked_at and gave its word.
+    void on_contact(std::uint64_t term, absl::Time asked_at);
     /// No dispatcher is known. Leases are renewed for a bounded time more.
     void on_dispatcher_lost() { dispatcher_.clear(); }
     void on_orders(const schema::endpoint_orders& orders);
--- a/savoryreach/dispatch/job.hpp
+++ b/savoryreach/dispatch/job.hpp
@@ -57,10 +57,13 @@
     std::vector<step> steps;
     std::vector<waiter> waiters;
     absl::Time arrived_at;
-    absl::Time objective_at; ///< until then it should have ended
-    absl::Duration chain;    ///< longest chain of expected run times
-    double work = 0.0;       ///< core-seconds by the declared times
-    bool started = false;    ///< a start was ordered
+    absl::Time objective_at;   ///< until then it should have ended
+    absl::Duration chain;      ///< longest chain of expected run times
+    double work = 0.0;         ///< core-seconds by the declared times
+    bool started = false;      ///< a start was ordered
+    bool adopted = false;      ///< runs or ends of an earlier term were taken over
+    bool may_have_run = false; ///< an earlier dispatcher may have started tasks of it
+    absl::Time useful_until;   ///< an answer after this time is worth nothing to the caller
     bool had_success = false;
     std::vector<std::string> failed_hosts; ///< where runs of it failed
     absl::Time first_start_at = absl::InfiniteFuture();
--- a/savoryreach/keeper/replicated_log.cpp
+++ b/savoryreach/keeper/replicated_log.cpp
@@ -48,6 +48,9 @@
     case schema::envelope::kVoteReply:
         on_vote_reply(message.vote_reply());
         return true;
+    case schema::envelope::kHandOver:
+        on_hand_over(from, message.hand_over());
+        return true;
     case schema::envelope::kAppendRequest:
         on_append(from, message.append_request());
         return true;
@@ -143,11 +146,42 @@
 void replicated_log::retire()
 {
     retired_ = true;
+    const bool led = is_leader();
+    std::string successor;
+    for (const auto& it : members_.current().members())
+    {
+        const bool better = successor.empty() || match_index(it.name()) > match_index(successor);
+        if (it.voter() && it.name() != options_.self && better)
+        {
+            successor = it.name();
+        }
+    }
     if (role_ != role::follower)
     {
         follow(term());
         leader_.clear();
     }
+    if (led && !successor.empty())
+    {
+        // It leads no more, so that its lease needs not be waited for.
+        leader_heard_at_ = absl::InfinitePast();
+        schema::envelope message;
+        message.mutable_hand_over()->set_term(term());
+        ports_.transport.send(base::node_name(successor), std::move(message));
+        ports_.events.record("hand_over", {{"peer", successor}});
+    }
+}
+
+void replicated_log::on_hand_over(const base::node_name& from, const schema::hand_over& request)
+{
+    // Only the leader of the present term can give it up.
+    if (failed_ || retired_ || is_leader() || request.term() != term() || leader_ != from.value() ||
+        !members_.is_voter(options_.self))
+    {
+        return;
+    }
+    leader_heard_at_ = absl::InfinitePast();
+    begin_candidacy(true);
 }
 
 // ---- election ----
@@ -170,21 +204,21 @@
     return std::pair(last_term, last_index) >= std::pair(log_.last_term(), log_.last_index());
 }
 
-bool replicated_log::may_vote() const
+bool replicated_log::may_vote(bool handed_over) const
 {
     // A learner without a log may have been a voter before it lost its data.
     const bool blank_learner = log_.last_index() == 0 && !members_.is_voter(options_.self);
     const bool leads =
         is_leader() && replicator_.quorum_contact() + leader_lease > ports_.clock.now();
-    const bool hears_other =
-        !is_leader() && leader_heard_at_ + min_election_timeout > ports_.clock.now();
+    const bool hears_other = !is_leader() && !handed_over &&
+                             leader_heard_at_ + min_election_timeout > ports_.clock.now();
     return !failed_ && !blank_learner && !leads && !hears_other;
 }
 
 void replicated_log::on_vote_request(const base::node_name& from,
                                      const schema::vote_request& request)
 {
-    if (!may_vote())
+    if (!may_vote(request.handed_over()))
     {
         return;
     }
@@ -233,16 +267,16 @@
     count_vote(options_.self);
 }
 
-void replicated_log::begin_candidacy()
+void replicated_log::begin_candidacy(bool handed_over)
 {
     follow(term() + 1);
     role_ = role::candidate;
     log_.save_hard_state(term(), options_.self);
     votes_.clear();
-    ask_for_votes(false);
+    ask_for_votes(false, handed_over);
 }
 
-void replicated_log::ask_for_votes(bool pre_vote)
+void replicated_log::ask_for_votes(bool pre_vote, bool handed_over)
 {
     for (const auto& member : members_.current().members())
     {
@@ -257,6 +291,7 @@
         request.set_last_index(log_.last_index());
         request.set_last_term(log_.last_term());
         request.set_pre_vote(pre_vote);
+        request.set_handed_over(handed_over);
         if (pre_vote)
         {
             ports_.transport.send(base::node_name(member.name()), std::move(message));
--- a/savoryreach/keeper/replicated_log.hpp
+++ b/savoryreach/keeper/replicated_log.hpp
@@ -54,7 +54,8 @@
     /// is committed already means that there is nothing to change.
     std::optional<std::uint64_t> change_members(const schema::change_keepers& change,
                                                 std::string& why);
-    /// Stops leading and standing for election; still votes and acknowledges.
+    /// Stops leading and standing for election; still votes and acknowledges. A leader asks the
+    /// most advanced follower to stand at once, so that no election timeout passes.
     void retire();
 
     [[nodiscard]] bool is_leader() const { return role_ == role::leader; }
@@ -100,15 +101,16 @@
     void on_chunk(const base::node_name& from, const schema::snapshot_chunk& chunk);
 
     void begin_pre_vote();
-    void begin_candidacy();
-    void ask_for_votes(bool pre_vote);
+    void begin_candidacy(bool handed_over = false);
+    void ask_for_votes(bool pre_vote, bool handed_over = false);
     void count_vote(const std::string& voter);
     void lead();
     void follow(std::uint64_t term);
     void hear_leader(const std::string& leader, std::uint64_t term);
     void reset_election_deadline();
     [[nodiscard]] bool is_log_current(std::uint64_t last_index, std::uint64_t last_term) const;
-    [[nodiscard]] bool may_vote() const;
+    [[nodiscard]] bool may_vote(bool handed_over) const;
+    void on_hand_over(const base::node_name& from, const schema::hand_over& request);
 
     void append_local(std::vector<schema::log_entry> entries);
     void learn_addresses();
