--- a/tests/keeper/replicated_log_test.cpp
+++ b/tests/keeper/replicated_log_test.cpp
@@ -279,6 +279,39 @@
     EXPECT_EQ(cluster.leader(), "");
 }
 
+// A planned end must not cost an election timeout: the leader asks a follower to stand at once.
+TEST(replicated_log, draining_leader_is_followed_within_100_ms)
+{
+    keeper_cluster cluster(3);
+    ASSERT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }));
+    cluster.run_for(absl::Seconds(1));
+    const auto old = cluster.leader();
+    cluster.core(old).begin_drain();
+    EXPECT_TRUE(cluster.run_until([&]
+                                  { return !cluster.leader().empty() && cluster.leader() != old; },
+                                  absl::Milliseconds(100)));
+}
+
+// The vote for the one that was asked to stand must not let anybody else in: without the request
+// of the former leader a candidate is refused while that leader's lease runs.
+TEST(replicated_log, hand_over_of_another_term_is_ignored)
+{
+    keeper_cluster cluster(3);
+    ASSERT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }));
+    cluster.run_for(absl::Seconds(1));
+    const auto old = cluster.leader();
+    const auto term = cluster.core(old).status().term;
+    schema::envelope message;
+    message.mutable_hand_over()->set_term(term + 1);
+    for (const auto& it : cluster.running())
+    {
+        cluster.core(it).receive(base::node_name(old), message);
+    }
+    cluster.run_for(absl::Seconds(1));
+    EXPECT_EQ(cluster.leader(), old);
+    EXPECT_EQ(cluster.core(old).status().term, term);
+}
+
 // Guards against drains that leave the cluster without a leader.
 TEST(replicated_log, draining_leader_hands_over)
 {
--- /dev/null
+++ b/tests/platform/sources.cmake
@@ -0,0 +1,3 @@
+savoryreach_test(platform_test
+  platform/messages_test.cpp)
+target_link_libraries(platform_test PRIVATE savoryreach_platform)
