--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -97,7 +97,8 @@
 std::unique_ptr<core_member>
 core_member::open(boost::asio::io_context& io, const core_options& options,
                   const core_identity& identity, net::link_hub& hub, const base::clock& clock,
-                  observe::event_sink& events, std::function<void()> changed, std::string& why)
+                  observe::event_sink& events, const std::function<void()>& changed,
+                  std::string& why)
 {
     std::unique_ptr<core_member> out(new core_member(options, identity, hub, clock, events));
     const std::weak_ptr<bool> alive = out->alive_;
--- a/savoryreach/daemon/core_member.hpp
+++ b/savoryreach/daemon/core_member.hpp
@@ -52,7 +52,7 @@
     [[nodiscard]] static std::unique_ptr<core_member>
     open(boost::asio::io_context& io, const core_options& options, const core_identity& identity,
          net::link_hub& hub, const base::clock& clock, observe::event_sink& events,
-         std::function<void()> changed, std::string& why);
+         const std::function<void()>& changed, std::string& why);
 
     void receive(const net::link_peer& from, const schema::envelope& message);
     void tick();
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -662,7 +662,7 @@
     started.confirmed_at = absl::InfiniteFuture();
     started.session = place.session;
     started.process = place.agent_process;
-    add_run(place, id, std::move(started));
+    add_run(place, id, started);
     it.started = true;
     it.first_start_at = std::min(it.first_start_at, now);
     ++counts_.starts;
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -14,6 +14,7 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -120,12 +121,14 @@
     void answer(const waiter& who, schema::answer_kind kind, const std::string& reason = {});
     void adopt_runs(job& it);
     void release_ready_steps(job& it);
-    void add_run(endpoint& it, const task_id& id, run what);
+    void add_run(endpoint& it, const task_id& id, const run& what);
     void remove_run(endpoint& it, const task_id& id);
     [[nodiscard]] task* task_on(const endpoint& it, const task_id& id, std::uint32_t attempt);
 
     void take_state(endpoint& it, const schema::endpoint_report& report);
     void on_list(endpoint& it, const schema::endpoint_report& report);
+    void take_unknown_run(endpoint& it, const schema::run_progress& row);
+    void settle_unlisted(endpoint& it, const absl::flat_hash_set<task_id>& listed);
     void on_end(endpoint& it, const schema::run_end& end);
     void on_run_done(endpoint& it, const task_id& id, const run& ended);
     void on_run_failed(endpoint& it, const task_id& id);
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -2,7 +2,6 @@
 
 #include "savoryreach/dispatch/dispatcher.hpp"
 
-#include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -43,9 +42,9 @@
     return out;
 }
 
-void dispatcher::add_run(endpoint& it, const task_id& id, run what)
+void dispatcher::add_run(endpoint& it, const task_id& id, const run& what)
 {
-    it.add(id, std::move(what));
+    it.add(id, what);
     ++under_way_[id];
 }
 
@@ -196,49 +195,63 @@
     for (const auto& row : report.running())
     {
         const auto id = task_id_of(row.task());
-        const auto found = it.runs.find(id);
         listed.insert(id);
-        if (found != it.runs.end())
+        const auto found = it.runs.find(id);
+        if (found == it.runs.end())
         {
-            if (row.attempt() > found->second.attempt)
-            {
-                found->second.attempt = row.attempt();
-            }
-            if (row.confirmed() && !found->second.is_confirmed())
-            {
-                found->second.confirmed_at = now;
-            }
-            found->second.session = it.session;
+            take_unknown_run(it, row);
             continue;
         }
-        run unknown;
-        unknown.attempt = row.attempt();
-        // Without its size the run is taken to fill the endpoint.
-        unknown.takes =
-            row.cpu_milli() == 0 ? it.capacity : room{row.cpu_milli(), row.memory_mb(), row.gpu()};
-        unknown.sent_at = now;
-        unknown.confirmed_at = row.confirmed() ? now : absl::InfiniteFuture();
-        unknown.session = it.session;
-        unknown.process = it.agent_process;
-        add_run(it, id, std::move(unknown));
-        if (auto* owner = board_.find(id.job); owner != nullptr && id.step < owner->steps.size() &&
-                                               id.index < owner->steps[id.step].tasks.size())
+        if (row.confirmed() && !found->second.is_confirmed())
         {
-            auto& of = owner->steps[id.step];
-            auto& what = of.tasks[id.index];
-            if (what.now == task::state::waiting && of.released)
-            {
-                owner->adopted = true;
-                what.now = task::state::out;
-                what.host = it.host;
-                what.attempt = row.attempt();
-                board_.add_waiting(*owner, of, -1);
-                auto& adopted = it.runs.at(id);
-                adopted.queue = owner->queue.name();
-                adopted.declared = of.declared;
-            }
+            found->second.confirmed_at = now;
+        }
+        found->second.session = it.session;
+    }
+    settle_unlisted(it, listed);
+    it.listed = true;
+    it.from_before = false;
+    place_due_ = true;
+}
+
+/// A run that an earlier dispatcher ordered: adopted if its job is known and its task waits.
+void dispatcher::take_unknown_run(endpoint& it, const schema::run_progress& row)
+{
+    const auto id = task_id_of(row.task());
+    run unknown;
+    unknown.attempt = row.attempt();
+    // Without its size the run is taken to fill the endpoint.
+    unknown.takes =
+        row.cpu_milli() == 0 ? it.capacity : room{row.cpu_milli(), row.memory_mb(), row.gpu()};
+    unknown.sent_at = clock_.now();
+    unknown.confirmed_at = row.confirmed() ? unknown.sent_at : absl::InfiniteFuture();
+    unknown.session = it.session;
+    unknown.process = it.agent_process;
+    auto* owner = board_.find(id.job);
+    const bool known = owner != nullptr && id.step < owner->steps.size() &&
+                       id.index < owner->steps[id.step].tasks.size();
+    if (known)
+    {
+        auto& of = owner->steps[id.step];
+        auto& what = of.tasks[id.index];
+        if (what.now == task::state::waiting && of.released)
+        {
+            owner->adopted = true;
+            what.now = task::state::out;
+            what.host = it.host;
+            what.attempt = row.attempt();
+            board_.add_waiting(*owner, of, -1);
+            unknown.queue = owner->queue.name();
+            unknown.declared = of.declared;
         }
     }
+    add_run(it, id, unknown);
+}
+
+/// Ends runs that the endpoint's list does not have, if no order for them can be under way.
+void dispatcher::settle_unlisted(endpoint& it, const absl::flat_hash_set<task_id>& listed)
+{
+    const auto now = clock_.now();
     std::vector<task_id> over;
     for (const auto& [id, what] : it.runs)
     {
@@ -261,16 +274,13 @@
     for (const auto& id : over)
     {
         const auto attempt = it.runs.at(id).attempt;
-        auto* what = task_on(it, id, attempt);
+        const auto* what = task_on(it, id, attempt);
         remove_run(it, id);
         if (what != nullptr)
         {
             requeue(id, attempt, "not in the endpoint's list");
         }
     }
-    it.listed = true;
-    it.from_before = false;
-    place_due_ = true;
 }
 
 void dispatcher::on_end(endpoint& it, const schema::run_end& end)
--- a/savoryreach/dispatch/endpoint_table.cpp
+++ b/savoryreach/dispatch/endpoint_table.cpp
@@ -78,13 +78,13 @@
     return !peer.empty() && listed && registered && !draining && !silent && !left;
 }
 
-void endpoint::add(const task_id& task, run it)
+void endpoint::add(const task_id& task, const run& it)
 {
     assert(!runs.contains(task));
     used.cpu_milli += it.takes.cpu_milli;
     used.memory_mb += it.takes.memory_mb;
     used.gpu += it.takes.gpu;
-    runs.emplace(task, std::move(it));
+    runs.emplace(task, it);
 }
 
 void endpoint::remove(const task_id& task)
--- a/savoryreach/dispatch/endpoint_table.hpp
+++ b/savoryreach/dispatch/endpoint_table.hpp
@@ -94,7 +94,7 @@
 
     [[nodiscard]] bool has_room(const room& wanted) const;
     [[nodiscard]] bool is_usable() const;
-    void add(const task_id& task, run it);
+    void add(const task_id& task, const run& it);
     void remove(const task_id& task);
 };
 
