Stop a run as hung only where few endpoints have overdue runs, and once

Change: overdue runs count as hung while a third of the endpoints at most has any, and a task is stopped for it once.

--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -30,6 +30,30 @@
 /// Attempt numbers that are left out after a rejected start: more than the starts of a task.
 constexpr std::uint32_t skipped_attempts = 16;
 
+/// Above this share of endpoints with overdue runs the jobs are at fault, or all endpoints are
+/// slow: to stop runs then would only throw work away.
+constexpr std::size_t hung_divisor = 3;
+
+bool is_overdue(const run& it, const speed_model& speeds, absl::Time now)
+{
+    return it.is_confirmed() && !it.stopping && !it.queue.empty() &&
+           now - it.confirmed_at >
+               speeds.expected(it.queue, it.declared) * hung_factor + hung_margin;
+}
+
+/// True when few enough endpoints have overdue runs for these to be taken for hung.
+bool are_overdue_runs_hung(const endpoint_table& table, const speed_model& speeds, absl::Time now)
+{
+    const auto hosts = std::ranges::count_if(
+        table.all(),
+        [&](const auto& it)
+        {
+            return std::ranges::any_of(it.second->runs, [&](const auto& entry)
+                                       { return is_overdue(entry.second, speeds, now); });
+        });
+    return static_cast<std::size_t>(hosts) * hung_divisor <= table.all().size();
+}
+
 } // namespace
 
 schema::endpoint_orders& dispatcher::orders_for(endpoint& it)
@@ -450,6 +474,7 @@
 void dispatcher::watch_runs()
 {
     const auto now = clock_.now();
+    const bool stops_hung = are_overdue_runs_hung(endpoints_, speeds_, now);
     for (auto& [host, it] : endpoints_.all())
     {
         std::vector<std::pair<task_id, std::uint32_t>> stops;
@@ -480,13 +505,13 @@
             const auto elapsed = now - what.confirmed_at;
             const auto expected = speeds_.expected(host, what.queue, what.declared);
             progress.emplace_back(absl::FDivDuration(elapsed - slow_margin, expected), &what);
-            if (elapsed > speeds_.expected(what.queue, what.declared) * hung_factor + hung_margin)
+            auto* hung = task_on(*it, id, what.attempt);
+            // A task that hangs again elsewhere is slow by itself.
+            if (stops_hung && hung != nullptr && hung->avoided.empty() &&
+                is_overdue(what, speeds_, now))
             {
                 stops.emplace_back(id, what.attempt);
-                if (auto* hung = task_on(*it, id, what.attempt))
-                {
-                    hung->avoided.push_back(host);
-                }
+                hung->avoided.push_back(host);
                 ++hung_here;
                 events_.record("run_hung", {{"submission", job_text(id.job)},
                                             {"task", absl::StrCat(id.step, ".", id.index)},
--- a/tests/dispatch/fleet_test.cpp
+++ b/tests/dispatch/fleet_test.cpp
@@ -92,6 +92,39 @@
     expect_sound(world);
 }
 
+// Found in incident inc-1bdd: tasks that took long on all endpoints were stopped and started anew
+// again and again.
+TEST_F(fleet, runs_that_are_slow_everywhere_are_not_stopped)
+{
+    fleet_world world(6, 10);
+    world.run(absl::Seconds(3));
+    for (std::size_t n = 0; n < 6; ++n)
+    {
+        world.endpoint_at(n).settings().speed = 0.1;
+    }
+    world.load({{"/hold/", 4, 60, 4.0}}, absl::Seconds(4));
+    world.run(absl::Seconds(12));
+    const auto completed = world.count(0, 99, schema::answer_completed);
+    EXPECT_GT(completed, 8U);
+    // Until a third of the endpoints show it, nothing can be told: their runs, ten on each of the
+    // two, may be started once more.
+    EXPECT_LE(world.watch().starts(), world.count(0, 99, std::nullopt) * 4 + 20);
+    expect_sound(world);
+}
+
+// One endpoint whose tasks stand still: they are started elsewhere.
+TEST_F(fleet, runs_that_hang_on_one_endpoint_are_started_elsewhere)
+{
+    fleet_world world(6, 11);
+    world.run(absl::Seconds(3));
+    world.endpoint_at(0).settings().speed = 0.001;
+    world.load(usual_load(0.15), absl::Seconds(8));
+    world.run(absl::Seconds(16));
+    const auto sent = world.count(0, 99, std::nullopt);
+    EXPECT_GE(world.count(0, 99, schema::answer_completed) * 100, sent * 95);
+    expect_sound(world);
+}
+
 TEST_F(fleet, failing_endpoint_is_set_aside)
 {
     fleet_world world(6, 4);
