Take no endpoint for slow where most seem so

Change: runs under way lower an endpoint's speed only while a third of the endpoints at most seems slow.

--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -54,6 +54,50 @@
     return static_cast<std::size_t>(hosts) * hung_divisor <= table.all().size();
 }
 
+/// The run in the middle by progress, if the endpoint has enough runs and that one is late.
+const run* late_middle_run(const endpoint& it, const speed_model& speeds, absl::Time now)
+{
+    std::vector<std::pair<double, const run*>> progress;
+    for (const auto& [id, what] : it.runs)
+    {
+        if (what.is_confirmed() && !what.stopping && !what.queue.empty())
+        {
+            const auto expected = speeds.expected(it.host, what.queue, what.declared);
+            progress.emplace_back(
+                absl::FDivDuration(now - what.confirmed_at - slow_margin, expected), &what);
+        }
+    }
+    if (progress.size() < least_runs_for_slowness)
+    {
+        return nullptr;
+    }
+    const auto middle = progress.begin() + static_cast<std::ptrdiff_t>(progress.size() / 2);
+    std::ranges::nth_element(progress, middle, {}, &std::pair<double, const run*>::first);
+    return middle->first > slow_factor ? middle->second : nullptr;
+}
+
+/// Learns from runs under way which endpoints have become slow. Where more than a third seem so,
+/// the jobs take longer than declared, and the endpoints are as fast as before.
+void learn_slow_endpoints(const endpoint_table& table, speed_model& speeds, absl::Time now)
+{
+    std::vector<std::pair<std::string, const run*>> slow;
+    for (const auto& [host, it] : table.all())
+    {
+        if (const auto* what = late_middle_run(*it, speeds, now))
+        {
+            slow.emplace_back(host, what);
+        }
+    }
+    if (slow.size() * hung_divisor > table.all().size())
+    {
+        return;
+    }
+    for (const auto& [host, what] : slow)
+    {
+        speeds.learn_slowness(host, what->queue, what->declared, now - what->confirmed_at);
+    }
+}
+
 } // namespace
 
 schema::endpoint_orders& dispatcher::orders_for(endpoint& it)
@@ -475,10 +519,10 @@
 {
     const auto now = clock_.now();
     const bool stops_hung = are_overdue_runs_hung(endpoints_, speeds_, now);
+    learn_slow_endpoints(endpoints_, speeds_, now);
     for (auto& [host, it] : endpoints_.all())
     {
         std::vector<std::pair<task_id, std::uint32_t>> stops;
-        std::vector<std::pair<double, const run*>> progress;
         std::size_t hung_here = 0;
         for (auto& [id, what] : it->runs)
         {
@@ -502,9 +546,6 @@
                 }
                 continue;
             }
-            const auto elapsed = now - what.confirmed_at;
-            const auto expected = speeds_.expected(host, what.queue, what.declared);
-            progress.emplace_back(absl::FDivDuration(elapsed - slow_margin, expected), &what);
             auto* hung = task_on(*it, id, what.attempt);
             // A task that hangs again elsewhere is slow by itself.
             if (stops_hung && hung != nullptr && hung->avoided.empty() &&
@@ -518,16 +559,6 @@
                                             {"peer", host}});
             }
         }
-        if (progress.size() >= least_runs_for_slowness)
-        {
-            const auto middle = progress.begin() + static_cast<std::ptrdiff_t>(progress.size() / 2);
-            std::ranges::nth_element(progress, middle, {}, &std::pair<double, const run*>::first);
-            if (middle->first > slow_factor)
-            {
-                const auto& what = *middle->second;
-                speeds_.learn_slowness(host, what.queue, what.declared, now - what.confirmed_at);
-            }
-        }
         if (hung_here > 1)
         {
             note_failure(*it);
--- a/tests/dispatch/fleet_test.cpp
+++ b/tests/dispatch/fleet_test.cpp
@@ -112,6 +112,32 @@
     expect_sound(world);
 }
 
+// Found in incident inc-1bdd: while tasks took long everywhere all endpoints were taken for slow,
+// and jobs were refused with endpoints free.
+TEST_F(fleet, jobs_that_take_long_everywhere_lower_no_endpoint)
+{
+    fleet_world world(6, 12);
+    world.run(absl::Seconds(3));
+    for (std::size_t n = 0; n < 6; ++n)
+    {
+        world.endpoint_at(n).settings().speed = 0.1;
+    }
+    world.load({{"/hold/", 4, 200, 12.0}}, absl::Seconds(2));
+    world.run(absl::Milliseconds(1900));
+    // All of them fit into the wait that the objective allows at the speeds that are known.
+    EXPECT_LE(world.count(3, 5, schema::answer_refused) * 10, world.count(3, 5, std::nullopt));
+    for (std::size_t n = 0; n < 6; ++n)
+    {
+        world.endpoint_at(n).settings().speed = 1.0;
+    }
+    world.run(absl::Milliseconds(2000));
+    world.load({{"/short/", 2, 200, 20.0}}, absl::Seconds(6));
+    world.run(absl::Seconds(10));
+    EXPECT_GE(world.count(6.5, 13, schema::answer_completed, true) * 100,
+              world.count(6.5, 13, std::nullopt) * 95);
+    expect_sound(world);
+}
+
 // One endpoint whose tasks stand still: they are started elsewhere.
 TEST_F(fleet, runs_that_hang_on_one_endpoint_are_started_elsewhere)
 {
