--- a/daemons/agent_main.cpp
+++ b/daemons/agent_main.cpp
@@ -3,6 +3,7 @@
 #include "savoryreach/daemon/http_endpoint.hpp"
 #include "savoryreach/daemon/operator_calls.hpp"
 #include "savoryreach/daemon/status_pages.hpp"
+#include "savoryreach/net/address.hpp"
 
 namespace savoryreach
 {
--- a/savoryreach/daemon/core_member.hpp
+++ b/savoryreach/daemon/core_member.hpp
@@ -66,8 +66,6 @@
     [[nodiscard]] std::uint64_t applied_index() const { return log_->applied_index(); }
     [[nodiscard]] const dispatch::fleet_store& store() const { return store_; }
     [[nodiscard]] const schema::keeper_set& members() const { return log_->members().current(); }
-    [[nodiscard]] bool is_failed() const { return log_->is_failed(); }
-    [[nodiscard]] std::string_view role_name() const { return log_->role_name(); }
 
 private:
     core_member(const core_options& options, const core_identity& identity, net::link_hub& hub,
--- a/savoryreach/daemon/http_pool.cpp
+++ b/savoryreach/daemon/http_pool.cpp
@@ -1,6 +1,6 @@
 #include "savoryreach/daemon/http_pool.hpp"
 
-#include "savoryreach/net/link_hub.hpp"
+#include "savoryreach/net/address.hpp"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -46,7 +46,7 @@
             send();
             return;
         }
-        const auto to = net::parse_endpoint(owner_->address_);
+        const auto to = net::parse_address(owner_->address_);
         if (!to)
         {
             boost::asio::post(owner_->io_, [self = shared_from_this()] { self->fail(); });
--- a/savoryreach/daemon/http_server.cpp
+++ b/savoryreach/daemon/http_server.cpp
@@ -1,7 +1,7 @@
 #include "savoryreach/daemon/http_server.hpp"
 
 #include "savoryreach/daemon/thread_per_connection.hpp"
-#include "savoryreach/net/tcp_transport.hpp"
+#include "savoryreach/net/address.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <sys/socket.h>
--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -1,6 +1,6 @@
 #include "savoryreach/daemon/http_service.hpp"
 
-#include "savoryreach/net/link_hub.hpp"
+#include "savoryreach/net/address.hpp"
 
 #include <absl/strings/numbers.h>
 
@@ -259,22 +259,9 @@
 
 std::optional<std::string> http_service::listen(const std::string& address)
 {
-    const auto at = net::parse_endpoint(address);
-    if (!at)
+    if (auto error = net::listen_at(acceptor_, address))
     {
-        return "not an address: " + address;
-    }
-    boost::system::error_code ec;
-    acceptor_.open(at->protocol(), ec);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    acceptor_.bind(*at, ec);
-    if (!ec)
-    {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec)
-    {
-        return address + ": " + ec.message();
+        return error;
     }
     accept();
     return std::nullopt;
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -389,12 +389,6 @@
     }
 }
 
-void dispatcher::on_front_down(const std::string& /*front*/)
-{
-    // The front repeats its requests when its link is back; a client that is gone by then makes
-    // the front abandon them.
-}
-
 void dispatcher::cancel(const waiter& who, const schema::cancel_job& request)
 {
     const auto* queue = router_.find(request.host(), request.path());
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -71,7 +71,6 @@
     void stop_leading();
 
     void on_front_request(const std::string& front, const schema::front_request& request);
-    void on_front_down(const std::string& front);
     void on_report(const std::string& peer, const schema::endpoint_report& report);
     void on_agent_down(const std::string& peer);
     /// The log entry at \p index has been applied to the store.
--- /dev/null
+++ b/savoryreach/net/address.hpp
@@ -0,0 +1,23 @@
+#ifndef SAVORYREACH_NET_ADDRESS_HPP
+#define SAVORYREACH_NET_ADDRESS_HPP
+
+#include <utility>
+
+#include <boost/asio.hpp>
+
+#include <optional>
+#include <string>
+
+namespace savoryreach::net
+{
+
+/// Parses "ip:port"; nullopt when it is not an IP address with a port.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parse_address(const std::string& text);
+
+/// Makes \p acceptor listen at "ip:port"; an error in words, or nullopt.
+[[nodiscard]] std::optional<std::string> listen_at(boost::asio::ip::tcp::acceptor& acceptor,
+                                                   const std::string& address);
+
+} // namespace savoryreach::net
+
+#endif
--- a/savoryreach/net/link.hpp
+++ b/savoryreach/net/link.hpp
@@ -47,11 +47,10 @@
     [[nodiscard]] absl::Time heard_at() const { return heard_at_; }
     [[nodiscard]] absl::Time sent_at() const { return sent_at_; }
 
-    std::string peer;             ///< name of the other process; empty until its hello
-    std::string address;          ///< dialled address; empty for an accepted connection
-    std::string announced;        ///< where the peer listens by its hello
-    bool peer_can_store = false;  ///< by its hello
-    std::uint64_t generation = 0; ///< rises with each link of a hub
+    std::string peer;            ///< name of the other process; empty until its hello
+    std::string address;         ///< dialled address; empty for an accepted connection
+    std::string announced;       ///< where the peer listens by its hello
+    bool peer_can_store = false; ///< by its hello
 
 private:
     void read();
--- a/savoryreach/net/link_hub.cpp
+++ b/savoryreach/net/link_hub.cpp
@@ -1,6 +1,6 @@
 #include "savoryreach/net/link_hub.hpp"
 
-#include <absl/strings/numbers.h>
+#include "savoryreach/net/address.hpp"
 
 #include <algorithm>
 
@@ -24,24 +24,6 @@
 
 } // namespace
 
-std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    boost::system::error_code ec;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), ec);
-    std::uint32_t port = 0;
-    constexpr std::uint32_t max_port = 65535;
-    if (ec || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port == 0 || port > max_port)
-    {
-        return std::nullopt;
-    }
-    return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-}
-
 link_hub::link_hub(boost::asio::io_context& io, options chosen, callbacks calls,
                    const base::clock& clock)
     : io_(io), options_(std::move(chosen)), calls_(std::move(calls)), clock_(clock), acceptor_(io),
@@ -56,22 +38,9 @@
     {
         return std::nullopt;
     }
-    const auto at = parse_endpoint(options_.address);
-    boost::system::error_code ec;
-    if (!at)
-    {
-        return "not an address: " + options_.address;
-    }
-    acceptor_.open(at->protocol(), ec);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    acceptor_.bind(*at, ec);
-    if (!ec)
-    {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec)
+    if (auto error = listen_at(acceptor_, options_.address))
     {
-        return options_.address + ": " + ec.message();
+        return error;
     }
     accept();
     return std::nullopt;
@@ -89,7 +58,6 @@
             if (!ec)
             {
                 auto it = std::make_shared<link>(std::move(socket), link_callbacks(), clock_);
-                it->generation = ++last_generation_;
                 links_.push_back(it);
                 it->start();
                 send_hello(*it);
@@ -137,7 +105,7 @@
 
 void link_hub::dial(const std::string& address, wanted& entry)
 {
-    const auto to = parse_endpoint(address);
+    const auto to = parse_address(address);
     entry.dial_at = clock_.now() + redial_pause;
     if (!to)
     {
@@ -152,7 +120,6 @@
     }
     auto it = std::make_shared<link>(std::move(socket), link_callbacks(), clock_);
     it->address = address;
-    it->generation = ++last_generation_;
     entry.connection = it;
     links_.push_back(it);
     it->dial(*to);
--- a/savoryreach/net/link_hub.hpp
+++ b/savoryreach/net/link_hub.hpp
@@ -96,15 +96,10 @@
     std::vector<link_ptr> links_;                                     ///< all that are not closed
     absl::btree_map<std::string, wanted> wanted_;                     ///< by address
     absl::flat_hash_map<std::string, std::vector<link_ptr>> by_peer_; ///< newest last
-    std::uint64_t last_generation_ = 0;
     absl::Time ticked_at_; ///< of the latest tick, to notice a suspension
     std::uint64_t incarnation_ = 0;
 };
 
-/// The two parts of "ip:port"; nullopt when it is none.
-[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint>
-parse_endpoint(const std::string& address);
-
 } // namespace savoryreach::net
 
 #endif
--- a/savoryreach/net/sources.cmake
+++ b/savoryreach/net/sources.cmake
@@ -1,4 +1,5 @@
 target_sources(savoryreach PRIVATE
+  net/address.cpp
   net/frame.cpp
   net/link.cpp
   net/link_hub.cpp
--- a/savoryreach/net/tcp_transport.cpp
+++ b/savoryreach/net/tcp_transport.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/net/tcp_transport.hpp"
 
+#include "savoryreach/net/address.hpp"
+
 #include "savoryreach/base/system_clock.hpp"
 
 #include <absl/strings/numbers.h>
@@ -23,28 +25,6 @@
 
 } // namespace
 
-std::optional<tcp::endpoint> parse_address(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    auto host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code ec;
-    const auto ip = asio::ip::make_address(host, ec);
-    std::uint32_t port = 0;
-    if (ec || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > 65535)
-    {
-        return std::nullopt;
-    }
-    return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-}
-
 tcp_transport::tcp_transport(tcp_transport_options options, message_handler on_messages,
                              notice_handler on_notice)
     : options_(std::move(options)), on_messages_(std::move(on_messages)),
--- a/savoryreach/net/tcp_transport.hpp
+++ b/savoryreach/net/tcp_transport.hpp
@@ -105,9 +105,6 @@
     std::thread thread_;
 };
 
-/// Parses "ip:port"; nullopt when it is not an IP address with a port.
-[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parse_address(const std::string& text);
-
 } // namespace savoryreach::net
 
 #endif
--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/net/tcp_transport.hpp"
 
+#include "savoryreach/net/address.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
