--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -270,6 +270,7 @@
 void http_service::accept()
 {
     acceptor_.async_accept(
+        io_,
         [this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
         {
             if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open())
