--- a/tests/net/link_hub_test.cpp
+++ b/tests/net/link_hub_test.cpp
@@ -11,7 +11,13 @@
 namespace
 {
 
-constexpr const char* listen_address = "127.0.0.1:27431";
+/// An address that is free now: tests run side by side as processes of their own.
+std::string free_address()
+{
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
 
 /// Two hubs on one event loop over loopback; time stands still unless a test moves it.
 class hubs : public ::testing::Test
@@ -47,17 +53,19 @@
         }
     }
 
+    const std::string listen_address_ = free_address();
     boost::asio::io_context io_;
     simulation::virtual_clock clock_;
     std::vector<std::string> at_server_;
     std::vector<std::string> at_client_;
-    link_hub server_{io_, {"server", "front", listen_address, "", true}, calls(at_server_), clock_};
+    link_hub server_{
+        io_, {"server", "front", listen_address_, "", true}, calls(at_server_), clock_};
     link_hub client_{io_, {"client", "agent", "", "", false}, calls(at_client_), clock_};
 };
 
 TEST_F(hubs, wanted_address_is_linked_and_messages_pass)
 {
-    client_.want({listen_address});
+    client_.want({listen_address_});
     run_until(at_server_, 1);
     run_until(at_client_, 1);
     EXPECT_EQ(at_client_, std::vector<std::string>{"up server"});
@@ -71,7 +79,7 @@
 
 TEST_F(hubs, silent_link_is_closed)
 {
-    client_.want({listen_address});
+    client_.want({listen_address_});
     run_until(at_server_, 1);
     for (int n = 0; n < 5; ++n)
     {
@@ -85,7 +93,7 @@
 // A process that was suspended must not act on what lies in its sockets.
 TEST_F(hubs, message_after_a_suspension_is_dropped_with_its_link)
 {
-    client_.want({listen_address});
+    client_.want({listen_address_});
     run_until(at_server_, 1);
     run_until(at_client_, 1);
     schema::envelope message;
