--- a/savoryreach/dispatch/admission.cpp
+++ b/savoryreach/dispatch/admission.cpp
@@ -14,8 +14,6 @@
 /// A queue of all work for longer than this is never accepted, seconds: fairness between queues
 /// must not push the least urgent back for ever.
 constexpr double longest_backlog_s = 1.5;
-/// While less than this waits, seconds of work, every job is taken.
-constexpr double short_backlog_s = 0.03;
 /// Shortest and longest time after which a refused client is asked to return.
 constexpr absl::Duration shortest_retry = absl::Milliseconds(200);
 constexpr absl::Duration longest_retry = absl::Seconds(5);
@@ -47,7 +45,7 @@
     const double backlog = inputs.work_waiting / inputs.rate;
     const auto wait = absl::Seconds(ahead);
     const auto limit = inputs.objective * (1.0 + tolerated_lateness) - inputs.chain;
-    const bool queues = backlog > short_backlog_s;
+    const bool queues = backlog > harmless_backlog_s;
     if (wait <= std::max(limit, absl::ZeroDuration()) && backlog <= longest_backlog_s &&
         (inputs.has_share || !queues))
     {
