Soak the platform's processes under faults from outside

Faults in series and overlapping: kill, freeze, SIGTERM, restart, connections that are slow, silent, cut one way or reset by a proxy, endpoints that crash. While it runs it checks that no task runs twice at once, a refused job never runs, a completed job's tasks all ended done, no endpoint is over its capacity; afterwards that everything is served within 10 s and no acknowledged configuration is lost. Its checks are shown to bite by tests of their own. Links between the processes are not proxied: they announce the address that they listen at; those faults come from signals only.

--- /dev/null
+++ b/tests/soak/fleet_process.hpp
@@ -0,0 +1,100 @@
+#ifndef SAVORYREACH_TESTS_SOAK_FLEET_PROCESS_HPP
+#define SAVORYREACH_TESTS_SOAK_FLEET_PROCESS_HPP
+
+#include "tests/soak/json_text.hpp"
+#include "tests/soak/load.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace savoryreach::soak
+{
+
+/// A process of the product, ended and started by this test only.
+class process
+{
+public:
+    process(std::string name, std::string role, std::filesystem::path folder, Json::Value settings)
+        : name_(std::move(name)), role_(std::move(role)), folder_(std::move(folder)),
+          settings_(std::move(settings))
+    {
+    }
+    ~process() { kill(); }
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    void start(bool is_first)
+    {
+        settings_["bootstrap"] = is_first;
+        const auto file = (folder_ / (name_ + ".json")).string();
+        std::ofstream(file) << text_of(settings_);
+        const auto log = (folder_ / (name_ + ".log")).string();
+        pid_ = ::fork();
+        if (pid_ == 0)
+        {
+            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            ::dup2(out, STDOUT_FILENO);
+            ::dup2(out, STDERR_FILENO);
+            ::setenv("SAVORYREACH_CONFIG", file.c_str(), 1);
+            const auto program = std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet";
+            ::execl(program.c_str(), program.c_str(), role_.c_str(), nullptr);
+            ::_exit(127);
+        }
+    }
+    void signal(int number) const
+    {
+        if (pid_ > 0)
+        {
+            ::kill(pid_, number);
+        }
+    }
+    void kill()
+    {
+        signal(SIGKILL);
+        wait();
+    }
+    /// Ends it as the platform does; killed when the grace time is over.
+    void stop(milliseconds grace)
+    {
+        signal(SIGTERM);
+        const auto end = clock::now() + grace;
+        while (pid_ > 0 && clock::now() < end)
+        {
+            if (::waitpid(pid_, nullptr, WNOHANG) == pid_)
+            {
+                pid_ = -1;
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        kill();
+    }
+
+private:
+    void wait()
+    {
+        if (pid_ > 0)
+        {
+            ::waitpid(pid_, nullptr, 0);
+        }
+        pid_ = -1;
+    }
+
+    std::string name_;
+    std::string role_;
+    std::filesystem::path folder_;
+    Json::Value settings_;
+    pid_t pid_ = -1;
+};
+
+} // namespace savoryreach::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/fleet_soak_test.cpp
@@ -0,0 +1,394 @@
+// Soak of the processes on the users' platform: real fronts and agents on loopback, endpoints and
+// clients of this test, faults from outside by signals and by proxies. SAVORYREACH_SOAK_SEEDS and
+// SAVORYREACH_SOAK_FROM give the number of seeds and the first one, SAVORYREACH_SOAK_SECONDS the
+// length.
+
+#include "tests/soak/fleet_process.hpp"
+#include "tests/soak/loopback_proxy.hpp"
+#include "tests/soak/soak_endpoint.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <functional>
+#include <iostream>
+
+namespace savoryreach::soak
+{
+namespace
+{
+
+constexpr int fronts = 3;
+constexpr int agents = 4;
+constexpr int internal_port = 7600;
+constexpr int client_port = 8161;
+constexpr int ready_port = 8167;
+constexpr std::size_t client_threads = 4;
+constexpr int client_deadline_ms = 3000;
+/// After the last fault everything must be served again within this time: an election, and the
+/// leases of lost hosts.
+constexpr milliseconds recovery(10'000);
+
+std::int64_t environment(const char* name, std::int64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoll(text, nullptr, 10);
+}
+
+TEST(soak_watch, two_runs_of_one_task_are_found)
+{
+    watch seen;
+    seen.began("a.0.0.0", "side-1");
+    seen.ended("a.0.0.0", true);
+    seen.began("a.0.0.0", "side-2");
+    EXPECT_TRUE(seen.violations().empty());
+    seen.began("a.0.0.0", "side-1");
+    EXPECT_EQ(seen.violations().size(), 1U);
+}
+
+TEST(soak_watch, untrue_refusal_is_found_before_and_after)
+{
+    watch seen;
+    seen.began("a.0.0.0", "side-1");
+    seen.refused("a");
+    EXPECT_EQ(seen.violations().size(), 1U);
+    seen.refused("b");
+    seen.began("b.0.0.0", "side-1");
+    EXPECT_EQ(seen.violations().size(), 2U);
+}
+
+TEST(soak_watch, completed_job_without_one_of_its_tasks_is_found)
+{
+    watch seen;
+    seen.began("a.0.0.0", "side-1");
+    seen.ended("a.0.0.0", true);
+    seen.completed("a", 1);
+    EXPECT_TRUE(seen.violations().empty());
+    seen.completed("a", 2);
+    EXPECT_EQ(seen.violations().size(), 1U);
+}
+
+class fleet_soak : public ::testing::TestWithParam<std::int64_t>
+{
+protected:
+    fleet_soak() : random_(static_cast<std::uint64_t>(GetParam()))
+    {
+        folder_ =
+            std::filesystem::temp_directory_path() /
+            ("savoryreach-soak-" + std::to_string(::getpid()) + "-" + std::to_string(GetParam()));
+        std::filesystem::create_directories(folder_);
+        for (int n = 0; n < agents; ++n)
+        {
+            const auto ip = ip_of(20 + n);
+            endpoints_.push_back(
+                std::make_unique<endpoint>("side-" + std::to_string(n), ip, watch_, random_()));
+            endpoint_proxies_.push_back(
+                std::make_unique<proxy>(ip, endpoint_port + 1, ip, endpoint_port));
+        }
+        for (int n = 0; n < fronts; ++n)
+        {
+            front_proxies_.push_back(
+                std::make_unique<proxy>(ip_of(40 + n), client_port, ip_of(10 + n), client_port));
+            add_process("edge-" + std::to_string(n), "front", 10 + n);
+        }
+        for (int n = 0; n < agents; ++n)
+        {
+            add_process("side-" + std::to_string(n), "agent", 20 + n);
+        }
+        for (const auto& it : processes_)
+        {
+            it->start(true);
+        }
+    }
+    ~fleet_soak() override
+    {
+        processes_.clear();
+        if (!HasFailure())
+        {
+            std::filesystem::remove_all(folder_);
+        }
+    }
+
+    /// Addresses of this test process only: tests may run side by side.
+    static std::string ip_of(int n)
+    {
+        const int own = static_cast<int>(::getpid());
+        return "127." + std::to_string(1 + own / 250 % 250) + "." + std::to_string(1 + own % 250) +
+               "." + std::to_string(n);
+    }
+
+    void add_process(const std::string& name, const std::string& role, int number)
+    {
+        const auto ip = ip_of(number);
+        const auto at = [&ip](int port)
+        {
+            return ip + ":" + std::to_string(port);
+        };
+        Json::Value it;
+        it["nodeName"] = name;
+        it["ip"] = ip;
+        it["zone"] = "z1";
+        it["internalPorts"].append(internal_port);
+        it["internalPorts"].append(internal_port + 15);
+        for (int n = 0; n < fronts; ++n)
+        {
+            it["seeds"].append(ip_of(10 + n) + ":" + std::to_string(control_port));
+        }
+        it["faultTolerance"]["machines"] = 1;
+        it["bounds"]["holdMaxMs"] = Json::Int64(longest_lease_ms);
+        it["bounds"]["graceS"] = 6;
+        it["listenAddrs"]["controlPlane"] = at(control_port);
+        if (role == "front")
+        {
+            it["listenAddrs"]["frontend"] = at(client_port);
+            it["listenAddrs"]["ready"] = at(ready_port);
+            it["dataDir"] = (folder_ / (name + "-data")).string();
+            std::filesystem::create_directories(folder_ / (name + "-data"));
+        }
+        else
+        {
+            it["app"] = at(endpoint_port + 1);
+        }
+        processes_.push_back(std::make_unique<process>(name, role, folder_, it));
+    }
+
+    [[nodiscard]] bool configure(int front, std::int64_t version) const
+    {
+        Json::Value service;
+        service["name"] = "s1";
+        Json::Value route;
+        route["name"] = "r1";
+        route["host"] = "soak.example";
+        route["pathPrefix"] = "/jobs/";
+        route["service"] = "s1";
+        route["timeoutMs"] = client_deadline_ms;
+        route["targetRuntimeMs"] = 60;
+        route["maxAttempts"] = 4;
+        route["slackFactor"] = 2.0;
+        Json::Value body;
+        body["version"] = Json::Int64(version);
+        body["services"].append(service);
+        body["routes"].append(route);
+        httplib::Client to(ip_of(10 + front), control_port);
+        to.set_read_timeout(1, 0);
+        to.set_connection_timeout(0, 300'000);
+        const auto reply =
+            to.Post("/savoryreach/config/replace", text_of(body), "application/json");
+        return reply && reply->status == 200;
+    }
+    /// The version in force by the first front that says one; 0 when none does.
+    [[nodiscard]] std::int64_t version_in_force() const
+    {
+        for (int n = 0; n < fronts; ++n)
+        {
+            httplib::Client to(ip_of(10 + n), control_port);
+            to.set_read_timeout(1, 0);
+            const auto reply = to.Get("/savoryreach/config/read");
+            if (reply && reply->status == 200)
+            {
+                return parsed(reply->body)["version"].asInt64();
+            }
+        }
+        return 0;
+    }
+
+    /// One job over an open connection; the status of its answer, 0 for none.
+    int send_job(httplib::Client& to, const std::string& id, int tasks)
+    {
+        Json::Value step;
+        step["count"] = tasks;
+        step["cpu"] = task_cpu_milli;
+        step["memMb"] = 64;
+        step["estimatedMs"] = task_ms;
+        Json::Value body;
+        body["spec"] = "x";
+        body["bestEffort"] = true;
+        body["steps"].append(step);
+        const httplib::Headers headers{
+            {"Host", "soak.example"},
+            {"X-Savoryreach-Deadline-Ms", std::to_string(client_deadline_ms)}};
+        const auto reply = to.Post("/jobs/" + id, headers, text_of(body), "application/json");
+        if (!reply)
+        {
+            return 0;
+        }
+        if (reply->status == 429 || reply->status == 503)
+        {
+            watch_.refused(id);
+        }
+        else if (reply->status == 200 && parsed(reply->body)["state"].asString() == "completed")
+        {
+            watch_.completed(id, tasks);
+        }
+        else if (reply->status != 200 && reply->status != 504)
+        {
+            watch_.violation("job " + id + " was answered " + std::to_string(reply->status));
+        }
+        return reply->status;
+    }
+
+    /// A client that keeps its connection to one front as long as it lasts.
+    void be_client(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        while (!clients_end_)
+        {
+            httplib::Client to(ip_of(40 + static_cast<int>(random() % fronts)), client_port);
+            to.set_keep_alive(true);
+            to.set_connection_timeout(0, 300'000);
+            to.set_read_timeout(client_deadline_ms / 1000 + 1, 0);
+            int status = 200;
+            while (status != 0 && !clients_end_)
+            {
+                char id[17];
+                std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(random()));
+                status = send_job(to, id, 1 + static_cast<int>(random() % 3));
+                std::this_thread::sleep_for(milliseconds(random() % 40));
+            }
+        }
+    }
+
+    /// Until everything is served; false after \p limit.
+    bool wait_until_served(milliseconds limit)
+    {
+        const auto end = clock::now() + limit;
+        int front = 0;
+        while (front < fronts && clock::now() < end)
+        {
+            httplib::Client to(ip_of(40 + front), client_port);
+            to.set_connection_timeout(0, 300'000);
+            to.set_read_timeout(client_deadline_ms / 1000 + 1, 0);
+            char id[17];
+            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(random_()));
+            if (send_job(to, id, 1) == 200)
+            {
+                ++front;
+                continue;
+            }
+            (void)configure(front, 1);
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        return front == fronts;
+    }
+
+    void harm()
+    {
+        const auto pick = [this](std::size_t n)
+        {
+            return static_cast<std::size_t>(random_() % n);
+        };
+        auto& any = *processes_[pick(processes_.size())];
+        auto& line =
+            pick(2) == 0 ? *front_proxies_[pick(fronts)] : *endpoint_proxies_[pick(agents)];
+        const auto pause = milliseconds(100 + random_() % 1500);
+        const auto later = [this, pause](std::function<void()> what)
+        {
+            repairs_.emplace(clock::now() + pause, std::move(what));
+        };
+        switch (pick(7))
+        {
+        case 0:
+            any.kill();
+            later(
+                [&any]
+                {
+                    any.kill();
+                    any.start(false);
+                });
+            break;
+        case 1:
+            any.signal(SIGSTOP);
+            later([&any] { any.signal(SIGCONT); });
+            break;
+        case 2:
+            any.signal(SIGTERM);
+            later(
+                [&any]
+                {
+                    any.stop(milliseconds(6000));
+                    any.start(false);
+                });
+            break;
+        case 3:
+            line.reset();
+            break;
+        case 4:
+            line.set(pick(2) == 0 ? proxy::mode::silent : proxy::mode::one_way);
+            later([&line] { line.set(proxy::mode::pass); });
+            break;
+        case 5:
+            line.set(proxy::mode::slow);
+            later([&line] { line.set(proxy::mode::pass); });
+            break;
+        default:
+            endpoints_[pick(agents)]->crash();
+        }
+    }
+    void repair(clock::time_point until)
+    {
+        while (!repairs_.empty() && repairs_.begin()->first <= until)
+        {
+            const auto what = repairs_.begin()->second;
+            repairs_.erase(repairs_.begin());
+            what();
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::filesystem::path folder_;
+    watch watch_;
+    std::vector<std::unique_ptr<endpoint>> endpoints_;
+    std::vector<std::unique_ptr<proxy>> endpoint_proxies_;
+    std::vector<std::unique_ptr<proxy>> front_proxies_;
+    std::vector<std::unique_ptr<process>> processes_;
+    std::multimap<clock::time_point, std::function<void()>> repairs_;
+    std::atomic<bool> clients_end_ = false;
+};
+
+TEST_P(fleet_soak, faults_in_series_break_no_promise)
+{
+    ASSERT_TRUE(wait_until_served(recovery)) << "nothing is served after the start";
+    std::vector<std::thread> clients;
+    for (std::size_t n = 0; n < client_threads; ++n)
+    {
+        clients.emplace_back([this, seed = random_()] { be_client(seed); });
+    }
+    const auto end =
+        clock::now() + std::chrono::seconds(environment("SAVORYREACH_SOAK_SECONDS", 6));
+    std::int64_t version = 1;
+    std::int64_t acknowledged = 1;
+    while (clock::now() < end)
+    {
+        harm();
+        repair(clock::now());
+        if (configure(static_cast<int>(random_() % fronts), ++version))
+        {
+            acknowledged = version;
+        }
+        std::this_thread::sleep_for(milliseconds(100 + random_() % 400));
+    }
+    repair(clock::time_point::max());
+    EXPECT_TRUE(wait_until_served(recovery)) << "not served again after the faults";
+    clients_end_ = true;
+    for (auto& it : clients)
+    {
+        it.join();
+    }
+    EXPECT_GE(version_in_force(), acknowledged) << "an acknowledged configuration is lost";
+    for (const auto& it : watch_.violations())
+    {
+        ADD_FAILURE() << it;
+    }
+    EXPECT_GT(watch_.completed_jobs(), 20U);
+    std::cout << "seed " << GetParam() << ": " << watch_.completed_jobs()
+              << " jobs completed, logs in " << folder_ << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, fleet_soak,
+                         ::testing::Range<std::int64_t>(environment("SAVORYREACH_SOAK_FROM", 1),
+                                                        environment("SAVORYREACH_SOAK_FROM", 1) +
+                                                            environment("SAVORYREACH_SOAK_SEEDS",
+                                                                        2)));
+
+} // namespace
+} // namespace savoryreach::soak
--- /dev/null
+++ b/tests/soak/load.hpp
@@ -0,0 +1,23 @@
+#ifndef SAVORYREACH_TESTS_SOAK_LOAD_HPP
+#define SAVORYREACH_TESTS_SOAK_LOAD_HPP
+
+#include <chrono>
+#include <cstdint>
+
+namespace savoryreach::soak
+{
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// What endpoints, processes and clients of the soak agree on.
+inline constexpr int control_port = 8166;
+inline constexpr int endpoint_port = 9000;
+inline constexpr int endpoint_cpu_milli = 8000;
+inline constexpr int task_cpu_milli = 1000;
+inline constexpr int task_ms = 60;
+inline constexpr std::int64_t longest_lease_ms = 1000;
+
+} // namespace savoryreach::soak
+
+#endif
