--- a/savoryreach/dispatch/placement.cpp
+++ b/savoryreach/dispatch/placement.cpp
@@ -41,11 +41,6 @@
            (limit == 0 || runs_of_step(it, owner.id, step_number) < limit);
 }
 
-} // namespace
-
-namespace
-{
-
 struct candidate
 {
     endpoint* place = nullptr;
