--- a/savoryreach/base/sources.cmake
+++ b/savoryreach/base/sources.cmake
@@ -1,5 +1,7 @@
 target_sources(savoryreach PRIVATE
+  base/decaying_rate.cpp
   base/digest.cpp
   base/error.cpp
+  base/json_line.cpp
   base/random_source.cpp
   base/system_clock.cpp)
--- a/savoryreach/config/json_text.cpp
+++ b/savoryreach/config/json_text.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/config/json_text.hpp"
 
+#include "savoryreach/base/json_line.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/strip.h>
@@ -158,10 +160,8 @@
     {
         return fail(base::error_kind::wrong_type, *null + " is null");
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    const std::string text = Json::writeString(builder, value);
-    const auto status = google::protobuf::util::JsonStringToMessage(text, &message);
+    const auto status =
+        google::protobuf::util::JsonStringToMessage(base::json_line(value), &message);
     return status.ok() ||
            fail(base::error_kind::wrong_type,
                 absl::StrCat(place, " ",
--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -44,7 +44,7 @@
         return std::nullopt;
     }
     core_identity out;
-    schema::ledger_snapshot record; // its keeper set holds the founders, its first claim the name
+    schema::ledger_snapshot record; // its keeper set holds the founders, its one agent the name
     if (const auto bytes = disk.read(path))
     {
         if (!record.ParseFromString(*bytes) || record.agents_size() != 1)
--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -132,12 +132,11 @@
     {
         if (ec == http::error::body_limit || ec == http::error::header_limit)
         {
-            constexpr int too_large = 413;
-            constexpr int header_too_large = 431;
             keep_alive_ = false;
             version_ = 11;
             http_answer out;
-            out.status = ec == http::error::body_limit ? too_large : header_too_large;
+            out.status =
+                ec == http::error::body_limit ? status_body_too_large : status_header_too_large;
             write(std::move(out));
             return;
         }
@@ -150,11 +149,10 @@
         }
         if (ec)
         {
-            constexpr int bad_request = 400;
             keep_alive_ = false;
             version_ = 11;
             http_answer out;
-            out.status = bad_request;
+            out.status = status_bad_request;
             write(std::move(out));
             return;
         }
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -17,6 +17,23 @@
 namespace savoryreach::daemon
 {
 
+/// Status codes, as far as the processes answer or understand them.
+enum http_status : int
+{
+    status_ok = 200,
+    status_bad_request = 400,
+    status_not_found = 404,
+    status_not_allowed = 405,
+    status_conflict = 409,
+    status_gone = 410,
+    status_body_too_large = 413,
+    status_misdirected = 421,
+    status_too_many = 429,
+    status_header_too_large = 431,
+    status_unavailable = 503,
+    status_gateway_timeout = 504,
+};
+
 struct http_call
 {
     std::string method;
@@ -50,14 +67,14 @@
     virtual void on_gone(std::function<void()> gone) = 0;
 };
 
-struct http_limits
+struct service_limits
 {
     std::uint32_t header_bytes = 16384;
     std::uint64_t body_bytes = 262144;
     std::uint32_t header_timeout_ms = 3000; ///< for the rest of a request that has begun
     std::uint32_t idle_timeout_ms = 15000;  ///< between requests
 
-    friend auto operator<=>(const http_limits&, const http_limits&) = default;
+    friend auto operator<=>(const service_limits&, const service_limits&) = default;
 };
 
 /// An HTTP/1.1 server on an event loop: many connections on one thread, a deadline for each step.
@@ -74,7 +91,7 @@
 
     /// Listens at "ip:port"; an error in words, or nullopt.
     [[nodiscard]] std::optional<std::string> listen(const std::string& address);
-    void set_limits(const http_limits& limits) { limits_ = limits; }
+    void set_limits(const service_limits& limits) { limits_ = limits; }
     /// Answers from now on ask the callers to close their connections.
     void drain() { draining_ = true; }
     /// Takes no more requests: closes the listener and the connections between two requests.
@@ -92,7 +109,7 @@
     boost::asio::io_context& io_;
     std::string deadline_header_;
     handler serve_;
-    http_limits limits_;
+    service_limits limits_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<connection>> connections_;
     bool draining_ = false;
--- a/savoryreach/daemon/json_rpc.cpp
+++ b/savoryreach/daemon/json_rpc.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/daemon/json_rpc.hpp"
 
+#include "savoryreach/base/json_line.hpp"
+
 #include <absl/strings/str_cat.h>
 
 #include <memory>
@@ -48,17 +50,12 @@
     return value;
 }
 
-std::string to_line(const Json::Value& value)
-{
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
 json_rpc_server::json_rpc_server(http_server& server)
 {
-    server.routes().Post("/rpc", [this](const httplib::Request& req, httplib::Response& res)
-                         { res.set_content(to_line(answer(req.body)), "application/json"); });
+    server.routes().Post("/rpc",
+                         [this](const httplib::Request& req, httplib::Response& res) {
+                             res.set_content(base::json_line(answer(req.body)), "application/json");
+                         });
 }
 
 void json_rpc_server::add(const std::string& name, method call)
@@ -107,7 +104,7 @@
     httplib::Client client(absl::StrCat("http://", address_));
     client.set_connection_timeout(1);
     client.set_read_timeout(client_timeout_s);
-    const auto res = client.Post("/rpc", to_line(request), "application/json");
+    const auto res = client.Post("/rpc", base::json_line(request), "application/json");
     if (!res)
     {
         return base::reason{base::error_kind::unreachable,
--- a/savoryreach/daemon/json_rpc.hpp
+++ b/savoryreach/daemon/json_rpc.hpp
@@ -52,8 +52,6 @@
 
 /// \p text as JSON; null when it is none.
 [[nodiscard]] Json::Value parse_json(const std::string& text);
-/// \p value in one line.
-[[nodiscard]] std::string to_line(const Json::Value& value);
 
 } // namespace savoryreach::daemon
 
--- a/savoryreach/daemon/keeper_operator_api.cpp
+++ b/savoryreach/daemon/keeper_operator_api.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/keeper_operator_api.hpp"
 
+#include "savoryreach/base/json_line.hpp"
 #include "savoryreach/daemon/node_transport.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -42,7 +43,7 @@
 {
     schema::keeper_request request;
     const auto status = google::protobuf::util::JsonStringToMessage(
-        to_line(params), request.mutable_apply_config()->mutable_declaration());
+        base::json_line(params), request.mutable_apply_config()->mutable_declaration());
     if (!status.ok())
     {
         return base::reason{base::error_kind::unknown_field, status.ToString()};
--- a/savoryreach/daemon/metrics_service.cpp
+++ b/savoryreach/daemon/metrics_service.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
 constexpr const char* metrics_path = "/metrics";
 
 } // namespace
--- a/savoryreach/daemon/settings.cpp
+++ b/savoryreach/daemon/settings.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/settings.hpp"
 
+#include "savoryreach/base/json_line.hpp"
 #include "savoryreach/config/declaration.hpp"
 #include "savoryreach/config/json_text.hpp"
 #include "savoryreach/daemon/settings_table.hpp"
@@ -28,9 +29,7 @@
 
 std::string as_text(const Json::Value& value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return value.isNull() ? "absent" : Json::writeString(builder, value);
+    return value.isNull() ? "absent" : base::json_line(value);
 }
 
 bool is_name(const Json::Value& value)
--- a/savoryreach/daemon/submission_json.cpp
+++ b/savoryreach/daemon/submission_json.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/daemon/submission_json.hpp"
 
+#include "savoryreach/base/json_line.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <json/json.h>
 
@@ -316,9 +318,7 @@
         body["tasks_started"] = answer.tasks_started();
         body["retry_after_ms"] = answer.retry_after_ms();
     }
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, body) + "\n";
+    return base::json_line(body) + "\n";
 }
 
 schema::job_answer refused_answer(const std::string& submission_id, const base::reason& why)
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -82,7 +82,6 @@
 
     [[nodiscard]] bool is_leading() const { return leading_; }
     [[nodiscard]] dispatcher_counts counts() const;
-    [[nodiscard]] const endpoint_table& endpoints() const { return endpoints_; }
     /// Of the endpoint on \p host, relative to the declared times.
     [[nodiscard]] double speed_of(const std::string& host) const { return speeds_.speed(host); }
 
--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -29,9 +29,6 @@
 /// short tasks take: 25 bytes a run, under 0.5 KB/s for the dozen runs that an endpoint has.
 constexpr absl::Duration progress_interval = absl::Milliseconds(300);
 constexpr absl::Duration progress_age = absl::Milliseconds(200);
-/// From this share of the work on, progress tells the whole run time to a tenth.
-constexpr std::uint32_t telling_percent = 10;
-constexpr std::uint32_t whole_percent = 100;
 constexpr double milli = 1000.0;
 /// Key of the endpoint and of all queues in the agent's own model of its speed.
 constexpr const char* only_key = "";
@@ -460,10 +457,10 @@
         return std::nullopt;
     }
     const auto seen = clock_.now() - it.confirmed_at;
-    if (it.percent >= telling_percent)
+    const auto ran = it.percent_at - it.confirmed_at;
+    if (const auto whole = whole_run_time(it.percent, ran))
     {
-        const auto ran = it.percent_at - it.confirmed_at;
-        return std::clamp(ran * whole_percent / it.percent, ran, seen);
+        return std::clamp(*whole, ran, seen);
     }
     return hold_lost_ ? std::nullopt : std::optional(seen);
 }
--- a/savoryreach/dispatch/endpoint_table.cpp
+++ b/savoryreach/dispatch/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/dispatch/endpoint_table.hpp"
 
+#include "savoryreach/dispatch/speed_model.hpp"
+
 #include <algorithm>
 #include <cassert>
 
@@ -23,16 +25,13 @@
 
 void run::note_progress(std::uint32_t share, absl::Duration ran, absl::Time now)
 {
-    /// From this share on the whole run time is known to a tenth.
-    constexpr std::uint32_t telling_percent = 10;
-    constexpr std::uint32_t whole_percent = 100;
     if (!has_progress() || share != percent)
     {
         percent = share;
         progressed_at = now;
     }
     reported_at = now;
-    shown = share >= telling_percent ? ran * whole_percent / share : ran;
+    shown = whole_run_time(share, ran).value_or(ran);
 }
 
 void standing::set_aside(absl::Time now)
--- a/savoryreach/dispatch/front_desk.cpp
+++ b/savoryreach/dispatch/front_desk.cpp
@@ -185,22 +185,4 @@
     }
 }
 
-absl::Time front_desk::next_deadline() const
-{
-    auto out = absl::InfiniteFuture();
-    for (const auto& [number, it] : requests_)
-    {
-        out = std::min(out, it.answer_by);
-        if (dispatcher_)
-        {
-            out = std::min(out, it.resend_at);
-        }
-        else if (!it.passed_on)
-        {
-            out = std::min(out, lost_at_ + waits_for_dispatcher);
-        }
-    }
-    return out;
-}
-
 } // namespace savoryreach::dispatch
--- a/savoryreach/dispatch/front_desk.hpp
+++ b/savoryreach/dispatch/front_desk.hpp
@@ -51,8 +51,6 @@
 
     [[nodiscard]] std::size_t pending() const { return requests_.size(); }
     [[nodiscard]] bool has_dispatcher() const { return dispatcher_.has_value(); }
-    /// Earliest time at which a request needs attention.
-    [[nodiscard]] absl::Time next_deadline() const;
 
     /// Without a dispatcher for longer than this, requests are refused at once: an election takes
     /// 0.5 to 0.9 s and the first word of the leader 0.1 s.
--- a/savoryreach/dispatch/offered_load.cpp
+++ b/savoryreach/dispatch/offered_load.cpp
@@ -10,10 +10,6 @@
 namespace
 {
 
-/// A burst shows within this time.
-constexpr absl::Duration late_period = absl::Milliseconds(500);
-/// What is usual changes slower than a burst of some seconds.
-constexpr absl::Duration usual_period = absl::Seconds(20);
 /// Until a queue is known for this long its present load counts as usual.
 constexpr absl::Duration warm_up = absl::Seconds(2);
 /// Least usual rate of a queue, core-seconds a second: a new queue gets something.
@@ -22,26 +18,15 @@
 
 } // namespace
 
-double mean_rate::decayed(absl::Time now, absl::Duration period) const
-{
-    return value * std::exp(-absl::FDivDuration(now - at, period));
-}
-
-void mean_rate::add(double work, absl::Time now, absl::Duration period)
-{
-    value = decayed(now, period) + work / absl::ToDoubleSeconds(period);
-    at = now;
-}
-
 void offered_load::note(const std::string& queue, double work, absl::Time now)
 {
     auto [it, fresh] = queues_.try_emplace(queue);
     if (fresh)
     {
-        it->second.since = it->second.lately.at = it->second.usually.at = now;
+        it->second.since = now;
     }
-    it->second.lately.add(work, now, late_period);
-    it->second.usually.add(work, now, usual_period);
+    it->second.lately.add(work, now);
+    it->second.usually.add(work, now);
 }
 
 /// The mean over the time that the queue is known, for one that is known for less than the period.
@@ -50,10 +35,10 @@
     const auto known = now - it.since;
     if (known < warm_up)
     {
-        return std::max(it.lately.decayed(now, late_period), least_usual);
+        return std::max(it.lately.read(now), least_usual);
     }
-    const double seen = 1.0 - std::exp(-absl::FDivDuration(known, usual_period));
-    return std::max(it.usually.decayed(now, usual_period) / seen, least_usual);
+    const double seen = 1.0 - std::exp(-absl::FDivDuration(known, queue_load::usual_period));
+    return std::max(it.usually.read(now) / seen, least_usual);
 }
 
 double offered_load::share(const std::string& queue, double rate, absl::Time now) const
@@ -63,7 +48,7 @@
     double usual_left = 0.0;
     for (const auto& [name, it] : queues_)
     {
-        by_need.emplace_back(it.lately.decayed(now, late_period) / usual(it, now), &name);
+        by_need.emplace_back(it.lately.read(now) / usual(it, now), &name);
         usual_left += usual(it, now);
     }
     std::ranges::sort(by_need);
@@ -74,7 +59,7 @@
         const double level = rate_left / std::max(usual_left, negligible);
         if (need <= level)
         {
-            rate_left -= it.lately.decayed(now, late_period);
+            rate_left -= it.lately.read(now);
             usual_left -= usual(it, now);
             if (*name == queue)
             {
--- a/savoryreach/dispatch/offered_load.hpp
+++ b/savoryreach/dispatch/offered_load.hpp
@@ -1,6 +1,8 @@
 #ifndef SAVORYREACH_DISPATCH_OFFERED_LOAD_HPP
 #define SAVORYREACH_DISPATCH_OFFERED_LOAD_HPP
 
+#include "savoryreach/base/decaying_rate.hpp"
+
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
@@ -9,21 +11,16 @@
 namespace savoryreach::dispatch
 {
 
-/// A decaying mean of a rate.
-struct mean_rate
-{
-    double value = 0.0;
-    absl::Time at;
-
-    [[nodiscard]] double decayed(absl::Time now, absl::Duration period) const;
-    void add(double work, absl::Time now, absl::Duration period);
-};
-
 /// What is known of one queue.
 struct queue_load
 {
-    mean_rate lately;
-    mean_rate usually;
+    /// A burst shows within this time.
+    static constexpr absl::Duration late_period = absl::Milliseconds(500);
+    /// What is usual changes slower than a burst of some seconds.
+    static constexpr absl::Duration usual_period = absl::Seconds(20);
+
+    base::decaying_rate lately{late_period};   ///< core-seconds a second
+    base::decaying_rate usually{usual_period}; ///< core-seconds a second
     absl::Time since;
     double credit = 0.0; ///< of jobs that may be taken
 };
--- a/savoryreach/dispatch/speed_model.cpp
+++ b/savoryreach/dispatch/speed_model.cpp
@@ -40,6 +40,14 @@
 
 } // namespace
 
+std::optional<absl::Duration> whole_run_time(std::uint32_t percent, absl::Duration ran)
+{
+    /// From this share on the whole run time is known to a tenth.
+    constexpr std::uint32_t telling_percent = 10;
+    constexpr std::uint32_t whole_percent = 100;
+    return percent >= telling_percent ? std::optional(ran * whole_percent / percent) : std::nullopt;
+}
+
 double speed_model::log_speed(const std::string& endpoint) const
 {
     const auto it = endpoints_.find(endpoint);
--- a/savoryreach/dispatch/speed_model.hpp
+++ b/savoryreach/dispatch/speed_model.hpp
@@ -5,11 +5,17 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace savoryreach::dispatch
 {
 
+/// The whole run time of a run of which \p percent are done \p ran after its start; nullopt while
+/// too little is done to tell it.
+[[nodiscard]] std::optional<absl::Duration> whole_run_time(std::uint32_t percent,
+                                                           absl::Duration ran);
+
 /// Learns how fast endpoints are and how far off the declared times of each queue's tasks are, from
 /// the run times of tasks. Works in logarithms, so that twice too slow weighs like twice too fast.
 class speed_model
--- a/savoryreach/entry/recent_demand.cpp
+++ b/savoryreach/entry/recent_demand.cpp
@@ -17,17 +17,6 @@
 
 } // namespace
 
-void recent_demand::meter::add(double slot_seconds, absl::Time now)
-{
-    slots = read(now) + slot_seconds / absl::ToDoubleSeconds(memory);
-    at = now;
-}
-
-double recent_demand::meter::read(absl::Time now) const
-{
-    return slots > 0 ? slots * std::exp(-absl::FDivDuration(now - at, memory)) : 0;
-}
-
 void recent_demand::set_kind_weight(const std::string& kind, double weight)
 {
     kind_weights_[kind] = std::max(1.0, weight);
@@ -44,7 +33,7 @@
     const double seconds = absl::ToDoubleSeconds(work);
     auto& it = kinds_[kind];
     it.total.add(seconds, now);
-    it.teams[team].add(seconds, now);
+    it.teams.try_emplace(team, memory).first->second.add(seconds, now);
 }
 
 double recent_demand::fill(std::vector<competitor> others, double weight, double available)
--- a/savoryreach/entry/recent_demand.hpp
+++ b/savoryreach/entry/recent_demand.hpp
@@ -1,6 +1,8 @@
 #ifndef SAVORYREACH_ENTRY_RECENT_DEMAND_HPP
 #define SAVORYREACH_ENTRY_RECENT_DEMAND_HPP
 
+#include "savoryreach/base/decaying_rate.hpp"
+
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
@@ -30,16 +32,6 @@
     static constexpr absl::Duration memory = absl::Seconds(10);
 
 private:
-    /// Exponentially decaying sum.
-    struct meter
-    {
-        double slots = 0; ///< average slots asked for at `at`
-        absl::Time at = absl::InfinitePast();
-
-        void add(double slot_seconds, absl::Time now);
-        [[nodiscard]] double read(absl::Time now) const;
-    };
-
     struct competitor
     {
         double demand; ///< fraction of the slots
@@ -48,8 +40,8 @@
 
     struct kind_demand
     {
-        meter total;
-        absl::flat_hash_map<std::string, meter> teams;
+        base::decaying_rate total{memory}; ///< slots asked for
+        absl::flat_hash_map<std::string, base::decaying_rate> teams;
     };
 
     /// What \p weight gets of \p available when the others take no more than they demand.
--- a/savoryreach/observe/timeline.cpp
+++ b/savoryreach/observe/timeline.cpp
@@ -1,10 +1,10 @@
 #include "savoryreach/observe/timeline.hpp"
 
+#include "savoryreach/base/json_line.hpp"
 #include "savoryreach/observe/hybrid_clock.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <json/value.h>
-#include <json/writer.h>
 
 #include <algorithm>
 #include <fstream>
@@ -68,9 +68,7 @@
         Json::Value root(Json::objectValue);
         root["traceEvents"] = events_;
         root["displayTimeUnit"] = "ms";
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, root);
+        return base::json_line(root);
     }
 
 private:
--- a/tests/processes/process_cluster.cpp
+++ b/tests/processes/process_cluster.cpp
@@ -1,11 +1,11 @@
 #include "tests/processes/process_cluster.hpp"
 
+#include "tests/processes/child_process.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
-#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,8 +15,6 @@
 #include <fstream>
 #include <thread>
 
-extern char** environ;
-
 namespace savoryreach::processes
 {
 namespace
@@ -32,27 +30,6 @@
 constexpr int max_polls = 3000;
 constexpr int client_timeout_s = 60;
 
-pid_t spawn(const std::vector<std::string>& arguments, const std::string& output)
-{
-    std::vector<char*> argv;
-    argv.reserve(arguments.size() + 1);
-    for (const auto& it : arguments)
-    {
-        argv.push_back(const_cast<char*>(it.c_str()));
-    }
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    pid_t pid = 0;
-    const int ec = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    EXPECT_EQ(ec, 0) << arguments[0];
-    return pid;
-}
-
 template <typename Condition>
 void wait_until(Condition condition, const std::string& what)
 {
@@ -100,9 +77,8 @@
 
 process_cluster::process_cluster()
 {
-    const auto pid = static_cast<unsigned>(getpid());
-    network_ = absl::StrCat("127.", 16 + (pid >> 8U) % 200, ".", pid % 256);
-    folder_ = absl::StrCat(fs::temp_directory_path().string(), "/savoryreach-", pid);
+    network_ = own_network();
+    folder_ = absl::StrCat(fs::temp_directory_path().string(), "/savoryreach-", getpid());
     fs::remove_all(folder_);
     fs::create_directories(folder_);
     int host = 0;
--- a/tests/processes/sources.cmake
+++ b/tests/processes/sources.cmake
@@ -1,6 +1,7 @@
 # Real processes on loopback. They are not run in parallel with each other: every cluster has ten
 # processes, and the machine is shared.
 add_executable(processes_test
+  processes/child_process.cpp
   processes/process_cluster.cpp
   processes/whole_path_test.cpp)
 target_compile_definitions(processes_test PRIVATE
--- a/tests/soak/fleet_process.hpp
+++ b/tests/soak/fleet_process.hpp
@@ -1,17 +1,14 @@
 #ifndef SAVORYREACH_TESTS_SOAK_FLEET_PROCESS_HPP
 #define SAVORYREACH_TESTS_SOAK_FLEET_PROCESS_HPP
 
-#include "tests/soak/json_text.hpp"
-#include "tests/soak/load.hpp"
+#include "savoryreach/base/json_line.hpp"
+#include "tests/processes/child_process.hpp"
 
 #include <csignal>
-#include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <string>
 #include <sys/wait.h>
-#include <unistd.h>
 #include <utility>
 
 namespace savoryreach::soak
@@ -34,19 +31,10 @@
     {
         settings_["bootstrap"] = is_first;
         const auto file = (folder_ / (name_ + ".json")).string();
-        std::ofstream(file) << text_of(settings_);
-        const auto log = (folder_ / (name_ + ".log")).string();
-        pid_ = ::fork();
-        if (pid_ == 0)
-        {
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-            ::dup2(out, STDOUT_FILENO);
-            ::dup2(out, STDERR_FILENO);
-            ::setenv("SAVORYREACH_CONFIG", file.c_str(), 1);
-            const auto program = std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet";
-            ::execl(program.c_str(), program.c_str(), role_.c_str(), nullptr);
-            ::_exit(127);
-        }
+        std::ofstream(file) << base::json_line(settings_);
+        pid_ = processes::spawn(
+            {std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet", role_, "--settings=" + file},
+            (folder_ / (name_ + ".log")).string());
     }
     void signal(int number) const
     {
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -3,6 +3,7 @@
 // SAVORYREACH_SOAK_FROM give the number of seeds and the first one, SAVORYREACH_SOAK_SECONDS the
 // length.
 
+#include "savoryreach/base/json_line.hpp"
 #include "tests/soak/fleet_process.hpp"
 #include "tests/soak/loopback_proxy.hpp"
 #include "tests/soak/soak_endpoint.hpp"
@@ -111,13 +112,7 @@
         }
     }
 
-    /// Addresses of this test process only: tests may run side by side.
-    static std::string ip_of(int n)
-    {
-        const int own = static_cast<int>(::getpid());
-        return "127." + std::to_string(1 + own / 250 % 250) + "." + std::to_string(1 + own % 250) +
-               "." + std::to_string(n);
-    }
+    static std::string ip_of(int n) { return processes::own_network() + "." + std::to_string(n); }
 
     void add_process(const std::string& name, const std::string& role, int number)
     {
@@ -175,7 +170,7 @@
         to.set_read_timeout(1, 0);
         to.set_connection_timeout(0, 300'000);
         const auto reply =
-            to.Post("/savoryreach/config/replace", text_of(body), "application/json");
+            to.Post("/savoryreach/config/replace", base::json_line(body), "application/json");
         return reply && reply->status == 200;
     }
     /// The version in force by the first front that says one; 0 when none does.
@@ -188,7 +183,7 @@
             const auto reply = to.Get("/savoryreach/config/read");
             if (reply && reply->status == 200)
             {
-                return parsed(reply->body)["version"].asInt64();
+                return read_body(reply->body)["version"].asInt64();
             }
         }
         return 0;
@@ -209,7 +204,8 @@
         const httplib::Headers headers{
             {"Host", "soak.example"},
             {"X-Savoryreach-Deadline-Ms", std::to_string(client_deadline_ms)}};
-        const auto reply = to.Post("/jobs/" + id, headers, text_of(body), "application/json");
+        const auto reply =
+            to.Post("/jobs/" + id, headers, base::json_line(body), "application/json");
         if (!reply)
         {
             return 0;
@@ -218,7 +214,7 @@
         {
             watch_.refused(id);
         }
-        else if (reply->status == 200 && parsed(reply->body)["state"].asString() == "completed")
+        else if (reply->status == 200 && read_body(reply->body)["state"].asString() == "completed")
         {
             watch_.completed(id, tasks);
         }
--- a/tests/soak/soak_endpoint.hpp
+++ b/tests/soak/soak_endpoint.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYREACH_TESTS_SOAK_SOAK_ENDPOINT_HPP
 #define SAVORYREACH_TESTS_SOAK_SOAK_ENDPOINT_HPP
 
-#include "tests/soak/json_text.hpp"
+#include "savoryreach/base/json_line.hpp"
 #include "tests/soak/load.hpp"
 #include "tests/soak/promises.hpp"
 
@@ -95,7 +95,7 @@
     {
         body["clockMs"] = Json::Int64(clock_ms());
         out.status = status;
-        out.set_content(text_of(body), "application/json");
+        out.set_content(base::json_line(body), "application/json");
     }
     void reject(httplib::Response& out, const char* reason) const
     {
@@ -103,10 +103,23 @@
         body["reason"] = reason;
         answer(out, 409, body);
     }
-    [[nodiscard]] bool is_meant(const httplib::Request& in) const
+    /// False, with the answer, for a call that is meant for another lifetime or comes from a former
+    /// dispatcher.
+    bool admit(const httplib::Request& in, const Json::Value& body, httplib::Response& out)
     {
         const auto wanted = in.get_header_value("X-Savoryreach-Expect-Instance");
-        return wanted.empty() || wanted == id();
+        if (!wanted.empty() && wanted != id())
+        {
+            answer(out, 421);
+            return false;
+        }
+        if (body["fencingToken"].asUInt64() < token_)
+        {
+            reject(out, "fence");
+            return false;
+        }
+        token_ = body["fencingToken"].asUInt64();
+        return true;
     }
     void finish(const std::string& task, const std::string& how)
     {
@@ -119,21 +132,14 @@
 
     void start(const httplib::Request& in, httplib::Response& out)
     {
-        const auto body = parsed(in.body);
+        const auto body = read_body(in.body);
         const std::lock_guard guard(mutex_);
         const auto task = body["task"].asString();
         const auto attempt = body["attempt"].asUInt();
-        if (!is_meant(in))
-        {
-            answer(out, 421);
-            return;
-        }
-        if (body["fencingToken"].asUInt64() < token_)
+        if (!admit(in, body, out))
         {
-            reject(out, "fence");
             return;
         }
-        token_ = body["fencingToken"].asUInt64();
         if (body["expiresMs"].asInt64() < clock_ms())
         {
             reject(out, "late");
@@ -162,11 +168,10 @@
     }
     void stop(const httplib::Request& in, httplib::Response& out)
     {
-        const auto body = parsed(in.body);
+        const auto body = read_body(in.body);
         const std::lock_guard guard(mutex_);
-        if (body["fencingToken"].asUInt64() < token_)
+        if (!admit(in, body, out))
         {
-            reject(out, "fence");
             return;
         }
         const auto task = body["task"].asString();
@@ -181,20 +186,13 @@
     }
     void hold(const httplib::Request& in, httplib::Response& out)
     {
-        const auto body = parsed(in.body);
+        const auto body = read_body(in.body);
         const auto until = clock::now() + milliseconds(body["waitMs"].asInt64());
         std::unique_lock guard(mutex_);
-        if (!is_meant(in))
-        {
-            answer(out, 421);
-            return;
-        }
-        if (body["fencingToken"].asUInt64() < token_)
+        if (!admit(in, body, out))
         {
-            reject(out, "fence");
             return;
         }
-        token_ = body["fencingToken"].asUInt64();
         if (body.isMember("expiresMs"))
         {
             extend(body["expiresMs"].asInt64());
@@ -276,7 +274,7 @@
                 beat["capacity"]["memMb"] = 4096;
                 beat["labels"] = Json::arrayValue;
             }
-            agent.Post(path, text_of(beat), "application/json");
+            agent.Post(path, base::json_line(beat), "application/json");
         }
     }
 
--- a/tools/savoryctl/calls.cpp
+++ b/tools/savoryctl/calls.cpp
@@ -1,3 +1,4 @@
+#include "savoryreach/base/json_line.hpp"
 #include "savoryreach/daemon/json_rpc.hpp"
 #include "tools/savoryctl/command.hpp"
 
@@ -134,7 +135,7 @@
             Json::Value out;
             out["node"] = it;
             out[subject] = text;
-            std::cout << daemon::to_line(out) << "\n";
+            std::cout << base::json_line(out) << "\n";
         }
         else
         {
--- a/tools/savoryctl/files.cpp
+++ b/tools/savoryctl/files.cpp
@@ -1,3 +1,4 @@
+#include "savoryreach/base/json_line.hpp"
 #include "savoryreach/config/declaration.hpp"
 #include "savoryreach/config/declaration_file.hpp"
 #include "savoryreach/daemon/json_rpc.hpp"
@@ -122,7 +123,7 @@
         schema::declaration current;
         const bool known =
             !in_force.isNull() &&
-            google::protobuf::util::JsonStringToMessage(daemon::to_line(in_force), &current).ok();
+            google::protobuf::util::JsonStringToMessage(base::json_line(in_force), &current).ok();
         if (!known)
         {
             std::cout << it.name() << ": not in force\n";
@@ -133,8 +134,8 @@
         }
         else
         {
-            std::cout << it.name() << ":\n- " << daemon::to_line(to_json(current)) << "\n+ "
-                      << daemon::to_line(to_json(it)) << "\n";
+            std::cout << it.name() << ":\n- " << base::json_line(to_json(current)) << "\n+ "
+                      << base::json_line(to_json(it)) << "\n";
         }
     }
     return exit_ok;
