Let no outdated refusal reach a client

The dispatcher had refused the first copy, accepted the repetition as one that may have run and started it; then the first refusal arrived over a slow link. Change: answers carry the dispatcher's term, and a front leaves out refusals of a term other than the one it passed the request on to last; a dispatcher refuses the repetition of a refused request again; a request that may have run is answered as unknown where its steps can't be served. A front logs what it refuses for want of a dispatcher. Ruled out: a refusal by the front itself, which it gives only for what was never passed on.

--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -83,6 +83,8 @@
     under_way_.clear();
     ended_.clear();
     ended_order_.clear();
+    refused_.clear();
+    refused_order_.clear();
     orphan_ends_.clear();
     pending_changes_.clear();
     speeds_ = {};
@@ -92,12 +94,36 @@
 void dispatcher::answer(const waiter& who, schema::answer_kind kind, const std::string& reason)
 {
     schema::front_answer out;
-    out.set_number(who.number);
     out.set_kind(kind);
     out.set_reason(reason);
+    send_answer(who, std::move(out));
+}
+
+void dispatcher::send_answer(const waiter& who, schema::front_answer out)
+{
+    out.set_number(who.number);
+    out.set_term(term_);
     port_.answer(who.front, std::move(out));
 }
 
+void dispatcher::send_refusal(const waiter& who, absl::Duration retry_after, const std::string& why)
+{
+    schema::front_answer out;
+    out.set_kind(schema::answer_refused);
+    out.set_retry_after_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(retry_after)));
+    out.set_reason(why);
+    send_answer(who, std::move(out));
+    if (refused_.insert(who).second)
+    {
+        refused_order_.push_back({who, clock_.now() + answer_kept_for});
+    }
+}
+
+absl::Duration dispatcher::drain_time()
+{
+    return std::min(absl::Seconds(board_.work_waiting() / std::max(rate(), 1.0)), longest_retry);
+}
+
 void dispatcher::on_front_request(const std::string& front, const schema::front_request& request)
 {
     if (!leading_ || request.term() != term_)
@@ -127,11 +153,10 @@
     case schema::front_request::kRead:
     {
         schema::front_answer out;
-        out.set_number(who.number);
         out.set_kind(store_.config().version() == 0 ? schema::answer_not_ready
                                                     : schema::answer_done);
         out.set_document(store_.config().document());
-        port_.answer(front, std::move(out));
+        send_answer(who, std::move(out));
         break;
     }
     case schema::front_request::kFind:
@@ -164,6 +189,12 @@
         answer(who, schema::answer_no_queue);
         return;
     }
+    if (refused_.contains(who))
+    {
+        // The refusal is on its way, or got lost with a link.
+        send_refusal(who, drain_time(), "refused before");
+        return;
+    }
     const auto id = request.spec().id();
     if (request.path() != absl::StrCat(queue->path_prefix(), job_text(id)))
     {
@@ -186,6 +217,11 @@
     }
     if (const auto why = refusal_by_spec(request.spec()))
     {
+        if (may_have_run)
+        {
+            answer(who, schema::answer_unknown, *why);
+            return;
+        }
         refuse(who, id, not_ready_retry, *why);
         return;
     }
@@ -233,12 +269,7 @@
     events_.record(
         "job_refused",
         {{"submission", job_text(id)}, {"reason", why}, {"retry_ms", ms_text(retry_after)}});
-    schema::front_answer out;
-    out.set_number(who.number);
-    out.set_kind(schema::answer_refused);
-    out.set_retry_after_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(retry_after)));
-    out.set_reason(why);
-    port_.answer(who.front, std::move(out));
+    send_refusal(who, retry_after, why);
 }
 
 void dispatcher::accept(const waiter& who, const schema::submit_job& request,
@@ -420,10 +451,9 @@
         return;
     }
     schema::front_answer out;
-    out.set_number(who.number);
     out.set_kind(schema::answer_done);
     out.set_pending(static_cast<std::uint32_t>(board_.unstarted(queue->name())));
-    port_.answer(who.front, std::move(out));
+    send_answer(who, std::move(out));
 }
 
 // ---- configuration ----
@@ -507,17 +537,14 @@
     const auto now = clock_.now();
     for (const auto& who : it->waiters)
     {
-        schema::front_answer out;
-        out.set_number(who.number);
-        out.set_kind(kind);
-        out.set_reason(why);
         if (kind == schema::answer_refused)
         {
-            const auto drained = absl::Seconds(board_.work_waiting() / std::max(rate(), 1.0));
-            out.set_retry_after_ms(static_cast<std::uint32_t>(
-                absl::ToInt64Milliseconds(std::min(drained, longest_retry))));
+            send_refusal(who, drain_time(), why);
+        }
+        else
+        {
+            answer(who, kind, why);
         }
-        port_.answer(who.front, std::move(out));
     }
     events_.record("job_ended",
                    {{"submission", job_text(id)},
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include "schema/generated/ledger.pb.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
@@ -104,6 +105,11 @@
         std::uint64_t index = 0;
         waiter who;
     };
+    struct refused_request
+    {
+        waiter who;
+        absl::Time forget_at;
+    };
     struct ended_job
     {
         schema::answer_kind kind = schema::answer_unspecified;
@@ -124,6 +130,11 @@
     void count_pending(const waiter& who, const schema::count_pending& request);
     void apply_config(const waiter& who, const schema::apply_fleet_config& request);
     void answer(const waiter& who, schema::answer_kind kind, const std::string& reason = {});
+    void send_answer(const waiter& who, schema::front_answer out);
+    /// Tells \p who that nothing has run; the same request is refused again if it is repeated.
+    void send_refusal(const waiter& who, absl::Duration retry_after, const std::string& why);
+    /// When the work that waits now will have been done.
+    [[nodiscard]] absl::Duration drain_time();
     void adopt_runs(job& it);
     void release_ready_steps(job& it);
     void add_run(endpoint& it, const task_id& id, const run& what);
@@ -191,6 +202,8 @@
     absl::flat_hash_map<task_id, std::uint32_t> under_way_;
     absl::flat_hash_map<std::uint64_t, ended_job> ended_;
     std::deque<std::uint64_t> ended_order_;
+    absl::btree_set<waiter> refused_;
+    std::deque<refused_request> refused_order_; ///< oldest first
     /// Ends of runs of jobs that this dispatcher does not know, from before its term.
     absl::flat_hash_map<task_id, schema::run_outcome> orphan_ends_;
     std::vector<pending_change> pending_changes_;
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -713,6 +713,11 @@
         }
         ended_order_.pop_front();
     }
+    while (!refused_order_.empty() && now >= refused_order_.front().forget_at)
+    {
+        refused_.erase(refused_order_.front().who);
+        refused_order_.pop_front();
+    }
     if (now >= orphans_until_)
     {
         orphan_ends_.clear();
--- a/savoryreach/dispatch/front_desk.cpp
+++ b/savoryreach/dispatch/front_desk.cpp
@@ -45,21 +45,34 @@
     }
     else if (now >= lost_at_ + waits_for_dispatcher)
     {
-        schema::front_answer answer;
-        answer.set_kind(schema::answer_not_ready);
-        answer.set_retry_after_ms(no_dispatcher_retry_ms);
-        answer.set_reason("no dispatcher");
-        finish(number, answer);
+        refuse(number);
     }
     return number;
 }
 
+void front_desk::refuse(std::uint64_t number)
+{
+    const auto& request = requests_.at(number).request;
+    constexpr const char* why = "no dispatcher";
+    if (request.has_submit())
+    {
+        events_.record("job_refused", {{"submission", job_text(request.submit().spec().id())},
+                                       {"reason", why},
+                                       {"retry_ms", absl::StrCat(no_dispatcher_retry_ms)}});
+    }
+    schema::front_answer answer;
+    answer.set_kind(schema::answer_not_ready);
+    answer.set_retry_after_ms(no_dispatcher_retry_ms);
+    answer.set_reason(why);
+    finish(number, answer);
+}
+
 void front_desk::pass_on(open_request& it)
 {
     const auto now = clock_.now();
     auto request = it.request;
-    request.set_may_have_run(it.passed_on);
-    it.passed_on = true;
+    request.set_may_have_run(it.term != 0);
+    it.term = dispatcher_->term;
     it.resend_at = now + resend_after;
     request.set_term(dispatcher_->term);
     if (request.has_submit())
@@ -79,7 +92,7 @@
     {
         return;
     }
-    if (it->second.passed_on && dispatcher_)
+    if (it->second.term != 0 && dispatcher_)
     {
         schema::front_request request;
         request.set_number(number);
@@ -92,6 +105,22 @@
 
 void front_desk::on_answer(const schema::front_answer& answer)
 {
+    const auto it = requests_.find(answer.number());
+    if (it == requests_.end())
+    {
+        return;
+    }
+    // What an earlier dispatcher refused the present one may have started.
+    const bool refused =
+        answer.kind() == schema::answer_refused || answer.kind() == schema::answer_not_ready;
+    if (refused && it->second.request.has_submit() && answer.term() != it->second.term)
+    {
+        events_.record("refusal_outdated",
+                       {{"submission", job_text(it->second.request.submit().spec().id())},
+                        {"term", absl::StrCat(answer.term())},
+                        {"passed_on_in", absl::StrCat(it->second.term)}});
+        return;
+    }
     finish(answer.number(), answer);
 }
 
@@ -149,11 +178,10 @@
     std::vector<std::pair<std::uint64_t, bool>> over;
     for (auto& [number, it] : requests_)
     {
-        const bool refused =
-            !dispatcher_ && !it.passed_on && now >= lost_at_ + waits_for_dispatcher;
+        const bool refused = !dispatcher_ && it.term == 0 && now >= lost_at_ + waits_for_dispatcher;
         if (now >= it.answer_by || refused)
         {
-            over.emplace_back(number, it.passed_on);
+            over.emplace_back(number, it.term != 0);
         }
         else if (dispatcher_ && now >= it.resend_at)
         {
@@ -162,26 +190,25 @@
     }
     for (const auto& [number, passed_on] : over)
     {
-        schema::front_answer answer;
-        answer.set_kind(passed_on ? schema::answer_unknown : schema::answer_not_ready);
-        answer.set_retry_after_ms(no_dispatcher_retry_ms);
-        answer.set_reason(passed_on ? "no answer in time" : "no dispatcher");
-        if (passed_on)
+        if (!passed_on)
         {
-            // Nobody waits for the job any more.
-            const auto& it = requests_.at(number);
-            note_answer(it, answer.kind());
-            events_.record(
-                "request_unanswered",
-                {{"submission", it.request.has_submit() ? job_text(it.request.submit().spec().id())
-                                                        : std::string()},
-                 {"ms", absl::StrCat(absl::ToInt64Milliseconds(now - it.read_at))}});
-            const auto handler = std::move(requests_.at(number).handler);
-            abandon(number);
-            handler(answer);
+            refuse(number);
             continue;
         }
-        finish(number, answer);
+        // Nobody waits for the job any more.
+        const auto& it = requests_.at(number);
+        note_answer(it, schema::answer_unknown);
+        events_.record(
+            "request_unanswered",
+            {{"submission",
+              it.request.has_submit() ? job_text(it.request.submit().spec().id()) : std::string()},
+             {"ms", absl::StrCat(absl::ToInt64Milliseconds(now - it.read_at))}});
+        const auto handler = std::move(requests_.at(number).handler);
+        abandon(number);
+        schema::front_answer answer;
+        answer.set_kind(schema::answer_unknown);
+        answer.set_reason("no answer in time");
+        handler(answer);
     }
 }
 
--- a/savoryreach/dispatch/front_desk.hpp
+++ b/savoryreach/dispatch/front_desk.hpp
@@ -63,13 +63,15 @@
         absl::Time read_at;
         absl::Time answer_by;
         absl::Time resend_at = absl::InfinitePast();
-        bool passed_on = false;
+        std::uint64_t term = 0; ///< of the dispatcher that it was passed on to last; 0 for none
         answer_handler handler;
     };
 
     void pass_on(open_request& it);
     void finish(std::uint64_t number, const schema::front_answer& answer);
     void note_answer(const open_request& it, schema::answer_kind kind);
+    /// Answers a request that was passed on to nobody.
+    void refuse(std::uint64_t number);
 
     const base::clock& clock_;
     request_port& port_;
--- a/tests/dispatch/core_test.cpp
+++ b/tests/dispatch/core_test.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/dispatch/core_locator.hpp"
 #include "savoryreach/dispatch/core_planner.hpp"
+#include "savoryreach/dispatch/dispatcher.hpp"
 #include "savoryreach/dispatch/fleet_store.hpp"
 #include "savoryreach/dispatch/front_desk.hpp"
 #include "savoryreach/dispatch/queue_router.hpp"
@@ -221,6 +222,37 @@
     EXPECT_EQ(port_.requests[1].term(), 2U);
 }
 
+// A refusal that was under way when the request went to the next dispatcher reached the client,
+// while the next one started the job.
+TEST_F(desk, refusal_of_an_earlier_copy_is_not_passed_to_the_client)
+{
+    desk_.set_dispatcher(dispatcher_ref{"d", 1});
+    schema::front_answer late;
+    late.set_number(take(absl::Seconds(5)));
+    late.set_kind(schema::answer_refused);
+    late.set_term(1);
+    desk_.set_dispatcher(dispatcher_ref{"e", 2});
+    desk_.on_answer(late);
+    EXPECT_TRUE(answers_.empty());
+    late.set_kind(schema::answer_completed);
+    late.set_term(2);
+    desk_.on_answer(late);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].kind(), schema::answer_completed);
+}
+
+TEST_F(desk, refusal_of_the_only_copy_is_passed_to_the_client)
+{
+    desk_.set_dispatcher(dispatcher_ref{"d", 1});
+    schema::front_answer answer;
+    answer.set_number(take(absl::Seconds(5)));
+    answer.set_kind(schema::answer_refused);
+    answer.set_term(1);
+    desk_.on_answer(answer);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].kind(), schema::answer_refused);
+}
+
 TEST_F(desk, passed_on_request_at_its_limit_is_unknown_and_abandoned)
 {
     desk_.set_dispatcher(dispatcher_ref{"d", 1});
@@ -241,6 +273,82 @@
     EXPECT_EQ(desk_.pending(), 0U);
 }
 
+class answers_only final : public dispatch_port
+{
+public:
+    void send_orders(const std::string&, schema::endpoint_orders) override {}
+    void answer(const std::string& front, schema::front_answer answer) override
+    {
+        to.push_back(front);
+        answers.push_back(std::move(answer));
+    }
+    std::optional<std::uint64_t> propose(schema::command) override { return std::nullopt; }
+
+    std::vector<std::string> to;
+    std::vector<schema::front_answer> answers;
+};
+
+/// A dispatcher without endpoints, which refuses every job.
+class empty_dispatcher : public ::testing::Test
+{
+protected:
+    empty_dispatcher()
+    {
+        schema::log_entry entry;
+        auto& config = *entry.mutable_command()->mutable_fleet_config();
+        config.set_version(1);
+        auto& queue = *config.add_queues();
+        queue.set_host("h");
+        queue.set_path_prefix("/q/");
+        store_.apply(entry);
+        dispatcher_.lead(3);
+    }
+
+    void submit(std::uint64_t number, bool may_have_run)
+    {
+        schema::front_request request;
+        request.set_term(3);
+        request.set_number(number);
+        request.set_may_have_run(may_have_run);
+        auto& submit = *request.mutable_submit();
+        submit.set_host("h");
+        submit.set_path("/q/" + job_text(7));
+        submit.set_remaining_ms(1000);
+        submit.mutable_spec()->set_id(7);
+        submit.mutable_spec()->add_steps()->set_count(1);
+        dispatcher_.on_front_request("f", request);
+    }
+
+    simulation::virtual_clock clock_;
+    answers_only port_;
+    observe::null_event_sink sink_;
+    observe::metrics measures_;
+    fleet_store store_;
+    dispatcher dispatcher_{clock_, port_, sink_, measures_, store_};
+};
+
+// A refusal that was late on its way met the repetition of its request, which was accepted and
+// started.
+TEST_F(empty_dispatcher, repetition_of_a_refused_request_is_refused_again)
+{
+    submit(1, false);
+    submit(1, true);
+    ASSERT_EQ(port_.answers.size(), 2U);
+    for (const auto& it : port_.answers)
+    {
+        EXPECT_EQ(it.kind(), schema::answer_refused);
+        EXPECT_EQ(it.term(), 3U);
+    }
+    EXPECT_EQ(dispatcher_.counts().accepted, 0U);
+}
+
+TEST_F(empty_dispatcher, request_that_an_earlier_dispatcher_may_have_started_is_not_refused)
+{
+    submit(1, true);
+    EXPECT_TRUE(port_.answers.empty());
+    EXPECT_EQ(dispatcher_.counts().accepted, 1U);
+}
+
 class store : public ::testing::Test
 {
 protected:
