--- a/savoryreach/base/system_clock.hpp
+++ b/savoryreach/base/system_clock.hpp
@@ -6,7 +6,7 @@
 namespace savoryreach::base
 {
 
-/// Monotonic time of this machine since an arbitrary start.
+/// Monotonic time of this host since an arbitrary start.
 [[nodiscard]] absl::Time steady_now();
 
 /// The clocks of the operating system, for daemons.
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -252,8 +252,8 @@
     {
         return;
     }
-    const bool other_life = it.id != report.endpoint() || it.born_ms != report.born_ms();
-    if (other_life)
+    const bool other_incarnation = it.id != report.endpoint() || it.born_ms != report.born_ms();
+    if (other_incarnation)
     {
         events_.record("endpoint_found", {{"peer", it.host},
                                           {"endpoint", report.endpoint()},
@@ -265,7 +265,7 @@
         it.left = false;
         it.listed = false;
         speeds_.forget(it.host);
-        // What ran in the earlier lifetime is settled by a list of the new one.
+        // What ran in the earlier incarnation is settled by a list of the new one.
         it.session = ++last_session_;
         orders_.erase(it.host);
         ask_for_list(it);
--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -52,12 +52,12 @@
     const bool same = known_ && status.id == status_.id && status.born_ms == status_.born_ms;
     if (!same)
     {
-        // A delayed heartbeat of an earlier lifetime says nothing of the present one.
+        // A delayed heartbeat of an earlier incarnation says nothing of the present one.
         if (status.born_ms < status_.born_ms)
         {
             return;
         }
-        begin_life(status);
+        begin_incarnation(status);
         return;
     }
     if (status.sequence <= status_.sequence)
@@ -76,19 +76,19 @@
     }
 }
 
-void endpoint_agent::begin_life(const endpoint_status& status)
+void endpoint_agent::begin_incarnation(const endpoint_status& status)
 {
     const bool other = status.id != status_.id || status.born_ms != status_.born_ms;
     status_ = status;
     known_ = true;
     left_ = false;
     note_clock(status.clock_ms);
-    events_.record("endpoint_life", {{"endpoint", status.id},
-                                     {"born_ms", absl::StrCat(status.born_ms)},
-                                     {"service", status.service}});
+    events_.record("endpoint_incarnation", {{"endpoint", status.id},
+                                            {"born_ms", absl::StrCat(status.born_ms)},
+                                            {"service", status.service}});
     if (other)
     {
-        // A start without an answer may have reached the new lifetime; the others are over.
+        // A start without an answer may have reached the new incarnation; the others are over.
         absl::erase_if(runs_, [](const auto& it) { return it.second.confirmed; });
         unacknowledged_.clear();
         seen_end_ = acknowledged_end_ = sent_cursor_ = 0;
@@ -173,7 +173,7 @@
             look_ = orders.look();
             look_at_ = clock_.now();
         }
-        return; // meant for an earlier lifetime; the report of the new one is on its way
+        return; // meant for an earlier incarnation; the report of the new one is on its way
     }
     if (orders.acknowledged_end() > acknowledged_end_)
     {
@@ -284,7 +284,7 @@
         break;
     case start_result::old:
     case start_result::late:
-    case start_result::other_lifetime:
+    case start_result::other_incarnation:
         if (it.sent > 1)
         {
             it.give_up = true; // an earlier copy of the call may have taken effect
@@ -372,7 +372,7 @@
     }
     if (!known_ || (answer->born_ms != 0 && answer->born_ms != status_.born_ms))
     {
-        // Another lifetime; its heartbeat tells the rest.
+        // Another incarnation; its heartbeat tells the rest.
         hold_again_at_ = clock_.now() + hold_retry_pause;
         return;
     }
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -90,7 +90,7 @@
         absl::Time sent_at;     ///< the last time
     };
 
-    void begin_life(const endpoint_status& status);
+    void begin_incarnation(const endpoint_status& status);
     void take_start(const schema::start_order& order, const std::string& payload);
     void send_start(own_run& it);
     void end_run(const task_id& task, std::uint32_t attempt, schema::run_outcome outcome,
@@ -118,7 +118,7 @@
     endpoint_agent_options options_;
 
     endpoint_status status_;
-    bool known_ = false; ///< a heartbeat of the present lifetime has come
+    bool known_ = false; ///< a heartbeat of the present incarnation has come
     bool left_ = false;
     std::int64_t clock_ms_ = 0; ///< the endpoint's clock at clock_at_
     absl::Time clock_at_;
--- a/savoryreach/dispatch/endpoint_calls.hpp
+++ b/savoryreach/dispatch/endpoint_calls.hpp
@@ -16,7 +16,7 @@
 struct endpoint_status
 {
     std::string id;
-    std::int64_t born_ms = 0; ///< start of its lifetime, wall clock
+    std::int64_t born_ms = 0; ///< start of its incarnation, wall clock
     std::string service;
     std::string address;
     std::string data_centre;
@@ -24,7 +24,7 @@
     room capacity;
     std::vector<std::string> labels;
     std::int64_t clock_ms = 0;  ///< its own steady clock
-    std::uint64_t sequence = 0; ///< rises within a lifetime
+    std::uint64_t sequence = 0; ///< rises within an incarnation
 
     friend bool operator==(const endpoint_status&, const endpoint_status&) = default;
 };
@@ -36,7 +36,7 @@
     std::string payload;
     std::int64_t expires_ms = 0; ///< on the endpoint's clock
     std::uint64_t token = 0;     ///< fencing token
-    std::string endpoint;        ///< the lifetime that is meant
+    std::string endpoint;        ///< the incarnation that is meant
 
     friend bool operator==(const start_call&, const start_call&) = default;
 };
@@ -50,7 +50,7 @@
     no_room,
     invalid,
     unhealthy,
-    other_lifetime,
+    other_incarnation,
     no_answer, ///< it may run, now or later
 };
 
@@ -69,7 +69,7 @@
     std::uint64_t token = 0;
     std::uint64_t acknowledged_end = 0;
     std::uint32_t wait_ms = 0;
-    std::string endpoint; ///< the lifetime that is meant
+    std::string endpoint; ///< the incarnation that is meant
 
     friend bool operator==(const hold_call&, const hold_call&) = default;
 };
--- a/savoryreach/dispatch/endpoint_table.hpp
+++ b/savoryreach/dispatch/endpoint_table.hpp
@@ -71,7 +71,7 @@
     bool probing_ = false;
 };
 
-/// An endpoint as the dispatcher sees it. It is named by its host, since one lifetime of an
+/// An endpoint as the dispatcher sees it. It is named by its host, since one incarnation of an
 /// endpoint follows another there.
 struct endpoint
 {
--- a/tests/dispatch/fake_endpoint.cpp
+++ b/tests/dispatch/fake_endpoint.cpp
@@ -90,7 +90,7 @@
     const auto now = clock_ms();
     if (dark_ || call.endpoint != absl::StrCat("i-", options_.host, "-", life_))
     {
-        return {start_result::other_lifetime, now};
+        return {start_result::other_incarnation, now};
     }
     if (call.token < token_)
     {
--- a/tests/dispatch/fake_endpoint.hpp
+++ b/tests/dispatch/fake_endpoint.hpp
@@ -76,7 +76,7 @@
                   std::uint64_t seed, options chosen, task_facts facts);
 
     void connect(endpoint_agent* agent) { agent_ = agent; }
-    /// Loses everything and starts a new lifetime.
+    /// Loses everything and starts a new incarnation.
     void crash();
     /// Answers nothing and carries out nothing.
     void set_dark(bool dark) { dark_ = dark; }
--- a/tests/soak/soak_endpoint.hpp
+++ b/tests/soak/soak_endpoint.hpp
@@ -50,7 +50,7 @@
     endpoint(const endpoint&) = delete;
     endpoint& operator=(const endpoint&) = delete;
 
-    /// Loses everything and begins a new lifetime.
+    /// Loses everything and begins a new incarnation.
     void crash()
     {
         const std::lock_guard guard(mutex_);
@@ -103,8 +103,8 @@
         body["reason"] = reason;
         answer(out, 409, body);
     }
-    /// False, with the answer, for a call that is meant for another lifetime or comes from a former
-    /// dispatcher.
+    /// False, with the answer, for a call that is meant for another incarnation or comes from a
+    /// former dispatcher.
     bool admit(const httplib::Request& in, const Json::Value& body, httplib::Response& out)
     {
         const auto wanted = in.get_header_value("X-Savoryreach-Expect-Instance");
