Serve fresh jobs before those that are late when a dispatcher takes over

Held jobs that could not end in time waited for their answer deadline to be refused.

Change: a job that can't meet its objective when it is accepted is deferred: it is not part of the work ahead of others nor of the backlog that lowers the intake, and it is admitted by its answer deadline against all waiting work. A job that can't end by its answer deadline behind the jobs that precede it is refused as soon as that shows.

Ruled out: serving late jobs by the old admission for the sake of their number; a fresh job is worth five late ones.

Tests: fleet.requests_held_during_an_outage_* failed before. fleet.endpoints_that_are_silent_*, agent_calls.orders_of_the_earlier_* and agent_calls.endpoint_that_left_* cover the operators' reports on the platform's processes.

--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "savoryreach/dispatch/dispatcher.hpp"
 
-#include "savoryreach/dispatch/admission.hpp"
 #include "savoryreach/dispatch/placement.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -123,7 +122,8 @@
 
 absl::Duration dispatcher::drain_time()
 {
-    return std::min(absl::Seconds(jobs_.work_waiting() / std::max(rate(), 1.0)), max_retry);
+    const double work = jobs_.work_waiting() + jobs_.deferred_work();
+    return std::min(absl::Seconds(work / std::max(rate(), 1.0)), max_retry);
 }
 
 void dispatcher::on_front_request(const std::string& front, const schema::front_request& request)
@@ -319,17 +319,21 @@
     it.may_have_run = may_have_run;
     it.answer_deadline = std::min(it.arrived_at + objective * deadline_factor,
                                   now + absl::Milliseconds(request.remaining_ms()));
+    const bool refusable = !may_have_run;
+    if (refusable && now + it.critical_path > it.answer_deadline)
+    {
+        refuse(origin, it.id, drain_time(), "it would end too late to be of use");
+        return;
+    }
+    it.deferred = !can_meet_objective(it, now);
     const auto usable_rate = rate();
     offered_.add(queue.name(), it.work, now);
     const double share = offered_.share(
         queue.name(), usable_rate * usable_share(jobs_.work_waiting() / std::max(usable_rate, 1.0)),
         now);
     const bool has_share = offered_.admit(queue.name(), share);
-    const auto decision =
-        decide_admission({jobs_.work_ahead(it.objective_at), jobs_.work_waiting(), has_share,
-                          usable_rate, it.critical_path, it.objective_at - now},
-                         now);
-    if (!decision.accepted && !may_have_run && may_start())
+    const auto decision = decide_admission(admission_inputs_of(it, has_share, usable_rate), now);
+    if (!decision.accepted && refusable && may_start())
     {
         refuse(origin, it.id, decision.retry_at - now,
                absl::StrCat("expected wait of ", ms_text(decision.expected_wait), " ms",
@@ -350,6 +354,23 @@
     finish_if_done(added);
 }
 
+/// A deferred job starts after all waiting jobs, and has until its answer deadline.
+admission_inputs dispatcher::admission_inputs_of(const job& it, bool has_share, double rate)
+{
+    const auto now = clock_.now();
+    if (!it.deferred)
+    {
+        return {jobs_.work_ahead(it.objective_at),
+                jobs_.work_waiting(),
+                has_share,
+                rate,
+                it.critical_path,
+                it.objective_at - now};
+    }
+    const double work = jobs_.work_waiting() + jobs_.deferred_work();
+    return {work, work, has_share, rate, it.critical_path, it.answer_deadline - now};
+}
+
 /// Adopts runs and ends of a job that an earlier dispatcher accepted.
 void dispatcher::adopt_runs(job& it)
 {
@@ -615,9 +636,9 @@
     return sum;
 }
 
-bool dispatcher::drop_if_too_late(const job& it)
+bool dispatcher::drop_if_too_late(const job& it, absl::Duration wait)
 {
-    if (it.started || it.adopted || clock_.now() + it.critical_path <= it.answer_deadline)
+    if (it.started || it.adopted || clock_.now() + wait + it.critical_path <= it.answer_deadline)
     {
         return false;
     }
@@ -647,12 +668,14 @@
         index_.rebuild(endpoints_, speeds_);
     }
     absl::flat_hash_map<std::string, std::int64_t> unplaceable_cpu;
+    double work_ahead = 0.0; // of the jobs in this order that still wait, core-seconds
     for (const auto id : jobs_.waiting_order(clock_.now()))
     {
         auto& it = *jobs_.find(id);
-        if (!drop_if_too_late(it))
+        if (!drop_if_too_late(it, absl::Seconds(work_ahead / std::max(rate(), 1.0))))
         {
             place_job(it, unplaceable_cpu);
+            work_ahead += waiting_work(it);
         }
     }
 }
@@ -767,7 +790,7 @@
         next_check_at_ = now + check_interval;
         remove_expired();
         check_runs();
-        placement_due_ = placement_due_ || jobs_.work_waiting() > 0.0;
+        placement_due_ = placement_due_ || jobs_.has_waiting();
     }
     if (placement_due_)
     {
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_DISPATCH_DISPATCHER_HPP
 
 #include "savoryreach/base/clock.hpp"
+#include "savoryreach/dispatch/admission.hpp"
 #include "savoryreach/dispatch/endpoint_table.hpp"
 #include "savoryreach/dispatch/fleet_store.hpp"
 #include "savoryreach/dispatch/job_table.hpp"
@@ -122,9 +123,11 @@
     void submit(const request_ref& origin, const schema::submit_job& request, bool may_have_run);
     void accept(const request_ref& origin, const schema::submit_job& request,
                 const schema::queue_config& queue, bool may_have_run);
+    [[nodiscard]] admission_inputs admission_inputs_of(const job& it, bool has_share, double rate);
     [[nodiscard]] std::optional<std::string> find_spec_error(const schema::job_spec& spec);
-    /// Ends a job that has no started task and can no longer end by its answer deadline.
-    bool drop_if_too_late(const job& it);
+    /// Ends a job that has no started task and can't end by its answer deadline if its tasks start
+    /// after \p wait.
+    bool drop_if_too_late(const job& it, absl::Duration wait);
     void refuse(const request_ref& origin, std::uint64_t id, absl::Duration retry_after,
                 const std::string& reason);
     void abandon(const request_ref& origin);
--- a/savoryreach/dispatch/job_table.cpp
+++ b/savoryreach/dispatch/job_table.cpp
@@ -13,6 +13,19 @@
 /// the declared time.
 constexpr double fastest_time_factor = 0.6;
 
+bool has_waiting_task(const job& it)
+{
+    return std::ranges::any_of(it.steps, [](const job_step& step) { return step.waiting > 0; });
+}
+
+} // namespace
+
+double task_work(const job_step& step)
+{
+    return static_cast<double>(step.demand.cpu_milli) / milli *
+           absl::ToDoubleSeconds(step.declared);
+}
+
 double waiting_work(const job& it)
 {
     double sum = 0.0;
@@ -23,17 +36,9 @@
     return sum;
 }
 
-bool has_waiting(const job& it)
+bool can_meet_objective(const job& it, absl::Time now)
 {
-    return std::ranges::any_of(it.steps, [](const job_step& step) { return step.waiting > 0; });
-}
-
-} // namespace
-
-double task_work(const job_step& step)
-{
-    return static_cast<double>(step.demand.cpu_milli) / milli *
-           absl::ToDoubleSeconds(step.declared);
+    return now + it.critical_path * fastest_time_factor <= it.objective_at;
 }
 
 job& job_table::add(job it)
@@ -42,8 +47,8 @@
     auto& slot = jobs_[id];
     assert(!slot);
     slot = std::make_unique<job>(std::move(it));
-    work_waiting_ += waiting_work(*slot);
-    if (has_waiting(*slot))
+    waiting_work_of(*slot) += waiting_work(*slot);
+    if (has_waiting_task(*slot))
     {
         waiting_.insert({slot->objective_at, id});
     }
@@ -63,12 +68,13 @@
     {
         return;
     }
-    work_waiting_ = std::max(0.0, work_waiting_ - waiting_work(*it->second));
+    auto& work = waiting_work_of(*it->second);
+    work = std::max(0.0, work - waiting_work(*it->second));
     waiting_.erase({it->second->objective_at, id});
     jobs_.erase(it);
     if (waiting_.empty())
     {
-        work_waiting_ = 0.0; // removes accumulated rounding errors
+        work_waiting_ = deferred_work_ = 0.0; // removes accumulated rounding errors
     }
 }
 
@@ -76,15 +82,16 @@
 {
     jobs_.clear();
     waiting_.clear();
-    work_waiting_ = 0.0;
+    work_waiting_ = deferred_work_ = 0.0;
 }
 
 void job_table::adjust_waiting(job& it, job_step& step, int n)
 {
     assert(n >= 0 || step.waiting >= static_cast<std::size_t>(-n));
     step.waiting += static_cast<std::size_t>(n);
-    work_waiting_ = std::max(0.0, work_waiting_ + task_work(step) * n);
-    if (has_waiting(it))
+    auto& work = waiting_work_of(it);
+    work = std::max(0.0, work + task_work(step) * n);
+    if (has_waiting_task(it))
     {
         waiting_.insert({it.objective_at, it.id});
     }
@@ -102,8 +109,7 @@
     for (const auto& [at, id] : waiting_)
     {
         const auto& it = *jobs_.at(id);
-        const bool is_late =
-            !it.started && !it.adopted && now + it.critical_path * fastest_time_factor > at;
+        const bool is_late = !it.started && !it.adopted && !can_meet_objective(it, now);
         (is_late ? late : out).push_back(id);
     }
     out.insert(out.end(), late.begin(), late.end());
@@ -119,7 +125,8 @@
         {
             break;
         }
-        sum += waiting_work(*jobs_.at(id));
+        const auto& it = *jobs_.at(id);
+        sum += it.deferred ? 0.0 : waiting_work(it);
     }
     return sum;
 }
--- a/savoryreach/dispatch/job_table.hpp
+++ b/savoryreach/dispatch/job_table.hpp
@@ -35,7 +35,11 @@
 
     /// Core-seconds of the waiting tasks of jobs that precede one with \p objective_at.
     [[nodiscard]] double work_ahead(absl::Time objective_at) const;
+    /// Core-seconds of the waiting tasks. Those of deferred jobs are counted separately, since they
+    /// start after all others.
     [[nodiscard]] double work_waiting() const { return work_waiting_; }
+    [[nodiscard]] double deferred_work() const { return deferred_work_; }
+    [[nodiscard]] bool has_waiting() const { return !waiting_.empty(); }
     [[nodiscard]] std::size_t size() const { return jobs_.size(); }
     /// Number of jobs of a queue without a started task.
     [[nodiscard]] std::size_t count_unstarted(const std::string& queue) const;
@@ -46,13 +50,20 @@
     }
 
 private:
+    double& waiting_work_of(const job& it) { return it.deferred ? deferred_work_ : work_waiting_; }
+
     absl::btree_map<std::uint64_t, std::unique_ptr<job>> jobs_;
     absl::btree_set<order_key> waiting_; ///< jobs with waiting tasks
-    double work_waiting_ = 0.0;          ///< core-seconds
+    double work_waiting_ = 0.0;          ///< core-seconds, without those of deferred jobs
+    double deferred_work_ = 0.0;
 };
 
 /// Core-seconds of one task of a step, by its declared time.
 [[nodiscard]] double task_work(const job_step& step);
+/// Core-seconds of the job's waiting tasks.
+[[nodiscard]] double waiting_work(const job& it);
+/// True if a job that starts at \p now on the fastest endpoints can meet its objective.
+[[nodiscard]] bool can_meet_objective(const job& it, absl::Time now);
 
 } // namespace savoryreach::dispatch
 
--- a/tests/dispatch/endpoint_agent_test.cpp
+++ b/tests/dispatch/endpoint_agent_test.cpp
@@ -308,6 +308,42 @@
     EXPECT_EQ(ends(1), std::vector<schema::run_outcome>{schema::run_expired});
 }
 
+// Operators' report: around a hand-over both processes acted for a moment.
+TEST_F(agent_calls, orders_of_the_earlier_dispatcher_are_ignored_after_a_hand_over)
+{
+    agent_.on_dispatcher("e", dispatcher_term + 1);
+    order_start(0);
+    EXPECT_TRUE(calls_.starts.empty());
+    // The earlier dispatcher announces itself once more.
+    agent_.on_dispatcher("d", dispatcher_term);
+    order_start(0);
+    EXPECT_TRUE(calls_.starts.empty());
+}
+
+// Operators' report: a server that had left was in use again after a restart.
+TEST_F(agent_calls, endpoint_that_left_stays_out_for_the_next_dispatcher)
+{
+    agent_.on_leave(status_.id);
+    agent_.on_dispatcher("e", dispatcher_term + 1);
+    status_.sequence += 5; // a heartbeat that was delayed on its way
+    agent_.on_status(status_);
+    agent_.tick();
+    ASSERT_FALSE(reports_.reports.empty());
+    EXPECT_TRUE(reports_.reports.back().left());
+    agent_.on_contact(dispatcher_term + 1, clock_.now());
+    schema::endpoint_orders orders;
+    orders.set_term(dispatcher_term + 1);
+    orders.set_endpoint(status_.id);
+    orders.set_born_ms(status_.born_ms);
+    auto& start = *orders.add_starts();
+    set_key(*start.mutable_task(), {job, 0, 0});
+    start.set_attempt(1);
+    agent_.on_orders(orders);
+    agent_.tick();
+    EXPECT_TRUE(calls_.starts.empty());
+    EXPECT_EQ(ends(0), std::vector<schema::run_outcome>{schema::run_expired});
+}
+
 TEST_F(agent_calls, requested_list_is_not_held_up_by_a_waiting_call)
 {
     order_start(0);
--- a/tests/dispatch/fleet_test.cpp
+++ b/tests/dispatch/fleet_test.cpp
@@ -180,6 +180,39 @@
               world.count(9, 13, std::nullopt) * 95);
 }
 
+// Load pattern: after an outage the fronts forward all requests that they held at once. Most of
+// them are late already, and jobs that could meet their objective were refused for the backlog.
+TEST_F(fleet, requests_held_during_an_outage_do_not_displace_those_that_come_after_it)
+{
+    for (const std::uint64_t seed : {41U, 42U, 43U})
+    {
+        fleet_world world(10, seed, uneven_speeds);
+        world.run(absl::Seconds(3));
+        world.load(usual_load(0.8), absl::Seconds(8));
+        world.run(absl::Seconds(3));
+        world.change_dispatcher(absl::Milliseconds(1150));
+        world.run(absl::Seconds(10));
+        const auto sent = world.count(7.4, 9, std::nullopt);
+        EXPECT_GE(world.count(7.4, 9, schema::answer_completed, true) * 100, sent * 95)
+            << "seed " << seed;
+        // Those of no use any more are refused at once instead of waiting for their deadline.
+        const auto led_at = world.began_at() + absl::Seconds(6) + absl::Milliseconds(1150);
+        std::size_t refused = 0;
+        std::size_t refused_late = 0;
+        for (const auto& [id, it] : world.jobs())
+        {
+            const bool is_held = it.sent_at < led_at && it.answered_at >= led_at;
+            if (is_held && it.answer != schema::answer_completed)
+            {
+                ++refused;
+                refused_late += it.answered_at > led_at + absl::Milliseconds(200) ? 1 : 0;
+            }
+        }
+        EXPECT_LE(refused_late * 10, refused) << "seed " << seed;
+        expect_no_violations(world);
+    }
+}
+
 // A new dispatcher that can't reach a host must not wait for it beyond the expiry of its leases.
 TEST_F(fleet, change_of_dispatcher_with_a_host_cut_off_serves_within_two_seconds)
 {
@@ -214,6 +247,28 @@
     EXPECT_GE(world.count(0, 99, schema::answer_completed) * 100, sent * 95);
 }
 
+// Operators' report: a machine that was slow to report had its running work started again
+// elsewhere, or given up.
+TEST_F(fleet, endpoints_that_are_silent_for_a_moment_keep_their_runs)
+{
+    fleet_world world(6, 45);
+    world.run(absl::Seconds(3));
+    world.load({{"/long/", 4, 900, 6.0}}, absl::Seconds(4));
+    world.run(absl::Seconds(1));
+    for (std::size_t n = 0; n < 6; ++n)
+    {
+        world.endpoint_at(n).set_unresponsive(true);
+        world.run(absl::Milliseconds(400));
+        world.endpoint_at(n).set_unresponsive(false);
+        world.run(absl::Milliseconds(100));
+    }
+    world.run(absl::Seconds(10));
+    const auto sent = world.count(0, 99, std::nullopt);
+    EXPECT_EQ(world.count(0, 99, schema::answer_completed), sent);
+    EXPECT_EQ(world.monitor().starts(), sent * 4) << "a task was started again";
+    expect_no_violations(world);
+}
+
 TEST_F(fleet, late_and_unanswered_orders_run_no_task_twice)
 {
     fleet_world world(8, 8);
