Call a silent endpoint at a bounded rate

Hold calls to an endpoint that had been taken away failed at once; without a wait of their own (silent endpoint) they were followed by the next two without a pause.

There is one call at a time while the endpoint is silent.

Ruled out: lost calls themselves; each costs one connection, as before.

--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -27,6 +27,10 @@
 constexpr absl::Duration acknowledgement_wait = absl::Milliseconds(30);
 /// Pause after a hold call that failed.
 constexpr absl::Duration hold_retry_pause = absl::Milliseconds(100);
+/// Pause between hold calls to a silent endpoint, while its leases last and afterwards. A heartbeat
+/// ends it.
+constexpr absl::Duration silent_hold_pause = absl::Milliseconds(200);
+constexpr absl::Duration ended_hold_pause = absl::Seconds(1);
 /// The endpoint lists at most this many ends in an answer.
 constexpr std::size_t max_listed_ends = 500;
 /// An endpoint's clock may be slow by this factor.
@@ -83,6 +87,7 @@
                          status.capacity != status_.capacity || status.service != status_.service;
     status_ = status;
     set_endpoint_clock(status.clock_ms);
+    next_hold_at_ = silent_ ? absl::InfinitePast() : next_hold_at_;
     if (changed)
     {
         events_.record("endpoint_changed",
@@ -465,11 +470,9 @@
     {
         if (!sent->lost)
         {
+            // The connection failed: the endpoint did not let the call wait.
             on_hold_lost();
-        }
-        if (now < sent->sent_at + absl::Milliseconds(call.wait_ms))
-        {
-            next_hold_at_ = now + hold_retry_pause; // the connection failed
+            next_hold_at_ = std::max(next_hold_at_, now + hold_retry_pause);
         }
         return;
     }
@@ -512,6 +515,11 @@
     contact_.on_loss(clock_.now());
     ends_may_be_late_ = ends_may_be_late_ || holds_.live(absl::InfinitePast()) == 0;
     sent_acknowledgement_ = 0; // it may have been lost with the call
+    if (silent_)
+    {
+        const auto now = clock_.now();
+        next_hold_at_ = now + (now < lease_until_ ? silent_hold_pause : ended_hold_pause);
+    }
 }
 
 void endpoint_agent::process_ends(const hold_answer& answer)
@@ -607,7 +615,8 @@
     }
     // A call that was sent before a list was requested does not count: the answer is awaited.
     const auto since = requested_list_ != 0 ? list_requested_at_ : absl::InfinitePast();
-    const auto wanted = contact_.loses_calls(now) ? redundant_holds : usual_holds;
+    const bool overlaps = contact_.loses_calls(now) && !silent_;
+    const auto wanted = overlaps ? redundant_holds : usual_holds;
     for (auto n = holds_.live(since); n < wanted; ++n)
     {
         send_hold();
--- a/tests/dispatch/endpoint_agent_test.cpp
+++ b/tests/dispatch/endpoint_agent_test.cpp
@@ -222,6 +222,33 @@
     EXPECT_GT(calls_.holds.size(), sent);
 }
 
+// An endpoint that was gone for good got hold calls, each on a new connection, without a pause.
+TEST_F(agent_calls, endpoint_that_refuses_connections_is_called_at_a_bounded_rate)
+{
+    order_start(0);
+    answer_start(0, start_result::started);
+    const auto before = calls_.holds.size();
+    std::size_t failed = 0;
+    for (int n = 0; n < 600; ++n)
+    {
+        pass(absl::Milliseconds(5));
+        for (; failed < calls_.holds.size(); ++failed)
+        {
+            answer_hold(failed, std::nullopt);
+        }
+    }
+    EXPECT_TRUE(agent_.is_silent());
+    // Ten calls a second until it is silent, five while leases last, one afterwards.
+    EXPECT_LE(calls_.holds.size() - before, 18U);
+    EXPECT_GE(calls_.holds.size() - before, 8U);
+    // A heartbeat shows that the endpoint is back.
+    ++status_.sequence;
+    const auto sent = calls_.holds.size();
+    agent_.on_status(status_);
+    agent_.tick();
+    EXPECT_GT(calls_.holds.size(), sent);
+}
+
 TEST_F(agent_calls, calls_overlap_after_a_loss_and_only_then)
 {
     order_start(0);
--- a/tests/dispatch/fake_endpoint.cpp
+++ b/tests/dispatch/fake_endpoint.cpp
@@ -223,11 +223,10 @@
     events_.after(call_delay,
                   [this, call, delay = draw_answer_delay()]
                   {
-                      const auto [result, clock] = execute(call);
                       events_.after(delay,
-                                    [this, call, result, clock]
+                                    [this, call, answer = execute(call)]
                                     {
-                                        agent_->on_start_answer(call, result, clock);
+                                        agent_->on_start_answer(call, answer.first, answer.second);
                                         agent_->tick();
                                     });
                   });
