--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out
+# the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/cancelled_job ] || exit 2
+exec target/review/cancelled_job "review/5/record.txt"
