--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/cancelled_job ] || exit 2
-exec target/review/cancelled_job "review/5/record.txt"
+[ -x target/review/removed_route ] || exit 2
+exec target/review/removed_route "review/5/record.txt"
