--- a/review/standins/removed_route.cpp
+++ b/review/standins/removed_route.cpp
@@ -37,6 +37,7 @@
     pause_ms(3000);
     std::vector<reply> answers(clients);
     std::vector<std::thread> threads;
+    threads.reserve(clients);
     for (int n = 0; n < clients; ++n)
     {
         threads.emplace_back(
--- a/review/standins/unreadable_config.cpp
+++ b/review/standins/unreadable_config.cpp
@@ -119,14 +119,16 @@
 
 private:
     static constexpr int slot_s = 5;
+    static constexpr int slot_ms = 5000;
 
     void run(fleet& all, int number)
     {
-        constexpr int per_client = 100'000;
+        constexpr std::uint64_t per_client = 100'000;
+        auto id_number = static_cast<std::uint64_t>(number) * per_client;
         for (int n = 0; !ending_; ++n)
         {
-            const auto slot = static_cast<int>((now_ms() - began_ms_) / (1000 * slot_s));
-            const auto id = job_id(static_cast<std::uint64_t>(number * per_client + n));
+            const auto slot = static_cast<int>((now_ms() - began_ms_) / slot_ms);
+            const auto id = job_id(++id_number);
             const auto got = all.send_job((number + n) % fronts, prefix, id, 2, 200, 1500);
             {
                 const std::lock_guard guard(mutex_);
