--- a/review/standins/unreadable_config.cpp
+++ b/review/standins/unreadable_config.cpp
@@ -189,9 +189,12 @@
     std::unique_ptr<order> unreadable;
     if (is_trouble_wanted())
     {
-        // Written by hand, since a writer of JSON replaces bytes that are not UTF-8.
+        // A name in ISO 8859-2, put in by hand, since a writer of JSON replaces such bytes.
         auto bytes = fleet::config(2, {prefix}, "r-MARK");
-        bytes.replace(bytes.find("MARK"), 4, "\xff\xfe\xff\xfe");
+        bytes.replace(bytes.find("MARK"), 4,
+                      "\xa9"
+                      "en\xe8"
+                      "ur");
         unreadable = std::make_unique<order>(all, log, "unreadable version 2", bytes);
         log.add("unreadable version 2: answer " + std::to_string(unreadable->wait(ack_ms)));
     }
