--- a/review/standins/worker.hpp
+++ b/review/standins/endpoint.hpp
@@ -1,5 +1,5 @@
-#ifndef SAVORYREACH_REVIEW_STANDINS_WORKER_HPP
-#define SAVORYREACH_REVIEW_STANDINS_WORKER_HPP
+#ifndef SAVORYREACH_REVIEW_STANDINS_ENDPOINT_HPP
+#define SAVORYREACH_REVIEW_STANDINS_ENDPOINT_HPP
 
 #include "record.hpp"
 
@@ -18,9 +18,9 @@
 namespace savoryreach::review
 {
 
-/// A worker by PROTOCOL.md: leases, runs, ends, status reports. The `spec` of a job is the length
-/// of its tasks in milliseconds.
-class worker
+/// An endpoint by PROTOCOL.md: leases, runs, ends, status reports. The `spec` of a job is the
+/// length of its tasks in milliseconds.
+class endpoint
 {
 public:
     static constexpr int port = 8165;
@@ -30,7 +30,7 @@
     static constexpr std::int64_t longest_lease_ms = 1000;
     static constexpr int report_interval_ms = 1500;
 
-    worker(std::string ip, int number, std::string service, record& log)
+    endpoint(std::string ip, int number, std::string service, record& log)
         : ip_(std::move(ip)), service_(std::move(service)),
           id_("i-7f3a91c" + std::to_string(number)), record_(log)
     {
@@ -48,7 +48,7 @@
         living_ = std::thread([this] { live(); });
         reporting_ = std::thread([this] { report(); });
     }
-    ~worker()
+    ~endpoint()
     {
         ending_ = true;
         server_.stop();
@@ -56,8 +56,8 @@
         living_.join();
         reporting_.join();
     }
-    worker(const worker&) = delete;
-    worker& operator=(const worker&) = delete;
+    endpoint(const endpoint&) = delete;
+    endpoint& operator=(const endpoint&) = delete;
 
 private:
     struct run
@@ -114,7 +114,7 @@
     {
         const auto attempt = runs_.at(task).attempt;
         runs_.erase(task);
-        record_.add("worker " + id_ + " ends " + task + " run " + std::to_string(attempt) + ": " +
+        record_.add("endpoint " + id_ + " ends " + task + " run " + std::to_string(attempt) + ": " +
                     how);
         record_.ended(task);
         highest_[task] = std::max(highest_[task], attempt);
@@ -151,7 +151,7 @@
         }
         const auto length = std::strtoll(body["spec"].asCString(), nullptr, 10);
         runs_[task] = {attempt, clock_ms(), clock_ms() + length};
-        record_.add("worker " + id_ + " starts " + task + " run " + std::to_string(attempt));
+        record_.add("endpoint " + id_ + " starts " + task + " run " + std::to_string(attempt));
         record_.began(task, id_);
         answer(out, 200);
     }
--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYREACH_REVIEW_STANDINS_FLEET_HPP
 #define SAVORYREACH_REVIEW_STANDINS_FLEET_HPP
 
-#include "worker.hpp"
+#include "endpoint.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -102,22 +102,22 @@
     std::string body;
 };
 
-/// A small deployment on loopback: fronts with a disk, and workers with an agent each.
+/// A small deployment on loopback: fronts with a disk, and endpoints with an agent each.
 class fleet
 {
 public:
     static constexpr int client_port = 8161;
     static constexpr int control_port = 8166;
     static constexpr int ready_port = 8167;
-    static constexpr int worker_port = 8165;
+    static constexpr int endpoint_port = 8165;
     static constexpr int grace_ms = 6000;
     static constexpr int restart_delay_ms = 500;
     static constexpr int first_internal_port = 7720;
-    static constexpr int first_worker = 30;
+    static constexpr int first_endpoint = 30;
     static constexpr const char* host = "nony24.example";
     static constexpr const char* service = "huvo11a";
 
-    fleet(int fronts, int workers, record& log) : record_(log)
+    fleet(int fronts, int endpoints, record& log) : record_(log)
     {
         // Any network of the loopback range will do; when none has a free port, the fronts don't
         // start and the case can't run.
@@ -134,16 +134,16 @@
         {
             fronts_.push_back(add_process("front", n, fronts));
         }
-        for (int n = 0; n < workers; ++n)
+        for (int n = 0; n < endpoints; ++n)
         {
-            const auto ip = ip_of(first_worker + n);
-            agents_.push_back(add_process("agent", first_worker + n, fronts));
-            workers_.push_back(std::make_unique<worker>(ip, n, service, record_));
+            const auto ip = ip_of(first_endpoint + n);
+            agents_.push_back(add_process("agent", first_endpoint + n, fronts));
+            endpoints_.push_back(std::make_unique<endpoint>(ip, n, service, record_));
         }
     }
     ~fleet()
     {
-        workers_.clear();
+        endpoints_.clear();
         fronts_.clear();
         agents_.clear();
         std::error_code ec;
@@ -246,7 +246,7 @@
                                        {"X-Savoryreach-Deadline-Ms", std::to_string(limit_ms)}};
         Json::Value step;
         step["count"] = tasks;
-        step["cpu"] = worker::task_cpu_milli;
+        step["cpu"] = endpoint::task_cpu_milli;
         step["memMb"] = 256;
         step["estimatedMs"] = task_ms;
         Json::Value body;
@@ -307,7 +307,7 @@
 
     [[nodiscard]] std::vector<std::unique_ptr<child_process>>& fronts() { return fronts_; }
     [[nodiscard]] std::vector<std::unique_ptr<child_process>>& agents() { return agents_; }
-    [[nodiscard]] std::vector<std::unique_ptr<worker>>& workers() { return workers_; }
+    [[nodiscard]] std::vector<std::unique_ptr<endpoint>>& endpoints() { return endpoints_; }
     [[nodiscard]] std::filesystem::path data_folder(int front) const
     {
         return folder_ / ("front-" + std::to_string(front) + "-data");
@@ -354,7 +354,7 @@
         out["heartbeatMs"] = 1500;
         out["commandMode"] = "invoke";
         out["bounds"]["graceS"] = 6;
-        out["bounds"]["holdMaxMs"] = worker::longest_lease_ms;
+        out["bounds"]["holdMaxMs"] = endpoint::longest_lease_ms;
         if (role == "front")
         {
             out["listenAddrs"]["frontend"] = at(client_port);
@@ -364,7 +364,7 @@
         }
         else
         {
-            out["app"] = at(worker_port);
+            out["app"] = at(endpoint_port);
             out["service"] = service;
         }
         const auto file = folder_ / (name + ".json");
@@ -392,7 +392,7 @@
     std::vector<std::pair<std::filesystem::path, Json::Value>> settings_;
     std::vector<std::unique_ptr<child_process>> fronts_;
     std::vector<std::unique_ptr<child_process>> agents_;
-    std::vector<std::unique_ptr<worker>> workers_;
+    std::vector<std::unique_ptr<endpoint>> endpoints_;
 };
 
 /// The id of a client's job: 16 hexadecimal digits.
--- a/review/standins/record.hpp
+++ b/review/standins/record.hpp
@@ -66,11 +66,11 @@
         const auto ms = now_ms() - started_ms_;
         file_ << ms << " ms  " << line << std::endl;
     }
-    void began(const std::string& task, const std::string& worker)
+    void began(const std::string& task, const std::string& endpoint)
     {
         const std::lock_guard guard(mutex_);
         started_.insert(task.substr(0, task.find('.')));
-        running_[task].insert(worker);
+        running_[task].insert(endpoint);
         twice_ = twice_ || running_[task].size() > 1;
     }
     void ended(const std::string& task)
@@ -89,7 +89,7 @@
     {
         const std::lock_guard guard(mutex_);
         std::size_t out = 0;
-        for (const auto& [task, workers] : running_)
+        for (const auto& [task, endpoints] : running_)
         {
             out += task.starts_with(job) ? 1 : 0;
         }
--- a/review/standins/removed_route.cpp
+++ b/review/standins/removed_route.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr int fronts = 3;
-constexpr int workers = 4;
+constexpr int endpoints = 4;
 constexpr int clients = 6;
 constexpr int task_count = 4;
 /// A task of the kind `fitting`, which SYSTEM.md gives with 900 ms.
@@ -25,7 +25,7 @@
 int run_case(const std::string& record_path)
 {
     record log(record_path);
-    fleet all(fronts, workers, log);
+    fleet all(fronts, endpoints, log);
     all.start();
     constexpr int start_limit_ms = 20'000;
     if (!all.wait_until_ready(start_limit_ms) ||
--- a/review/standins/unreadable_config.cpp
+++ b/review/standins/unreadable_config.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr int fronts = 3;
-constexpr int workers = 4;
+constexpr int endpoints = 4;
 constexpr int clients = 3;
 constexpr const char* prefix = "/lohu930/";
 /// `ackMs`, with 3 ms for the one route.
@@ -174,7 +174,7 @@
 int run_case(const std::string& record_path)
 {
     record log(record_path);
-    fleet all(fronts, workers, log);
+    fleet all(fronts, endpoints, log);
     all.start();
     constexpr int start_limit_ms = 15'000;
     if (!all.wait_until_ready(start_limit_ms) ||
