--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hpp
@@ -143,9 +143,9 @@
     }
     ~fleet()
     {
-        endpoints_.clear();
         fronts_.clear();
         agents_.clear();
+        endpoints_.clear();
         std::error_code ec;
         if (std::getenv("KEEP_LOGS") == nullptr)
         {
