Refuse text that is not UTF-8, and carry foreign text as bytes

Cause: Protocol Buffers writes a `string` with any bytes and refuses to read one that is not UTF-8; JsonCpp accepts any bytes. The leader wrote an entry that no follower could parse, sent it again on each new link, and committed nothing behind it; recovery failed on the same entry.

Ruled out: the disk (the bytes read are those written) and the size of the entry.

Change: text of callers, operators and endpoints is `bytes` in all messages and records; the wire and disk formats stay the same, so a log that already has such an entry is read again. read_json, now the only parser of JSON, refuses bytes that are not UTF-8 and escapes of half a surrogate pair: the operator gets 400 at once. This can't come back by another field of these messages, since none of them checks its text when it is parsed.

Related paths with the same cause: jobs, paths and heartbeats closed links; a submission id got into the keepers' log; the output of an endpoint closed the link between agent and entry.

Tests, failing before: config_document, job_body and endpoint_messages.text_that_is_not_utf8_*, submission_reader_test.text_that_is_not_utf8_*, declaration_test.malformed_file_*, frame_test.text_of_any_bytes_*, file_log_storage_test.entry_with_text_of_any_bytes_*.

--- a/savoryreach/config/json_text.cpp
+++ b/savoryreach/config/json_text.cpp
@@ -1,19 +1,17 @@
 #include "savoryreach/config/json_text.hpp"
 
 #include "savoryreach/base/json_line.hpp"
+#include "savoryreach/base/json_reader.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/strip.h>
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/util/json_util.h>
-#include <json/reader.h>
-#include <json/writer.h>
 
 #include <cerrno>
 #include <fstream>
 #include <iterator>
-#include <memory>
 #include <system_error>
 #include <utility>
 
@@ -90,19 +88,10 @@
     builder["allowTrailingCommas"] = false;
     builder["collectComments"] = false;
     builder["stackLimit"] = max_depth;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
     std::string errors;
-    try
+    if (auto value = base::read_json(builder, text, errors))
     {
-        if (reader->parse(text.data(), text.data() + text.size(), &value, &errors))
-        {
-            return value;
-        }
-    }
-    catch (const Json::Exception& e)
-    {
-        errors = e.what(); // jsoncpp throws when the nesting is too deep
+        return value;
     }
     const auto line = absl::StripAsciiWhitespace(errors);
     fail(base::error_kind::not_json, absl::StrReplaceAll(line, {{"\n", " "}}));
--- a/savoryreach/daemon/json_rpc.cpp
+++ b/savoryreach/daemon/json_rpc.cpp
@@ -1,11 +1,10 @@
 #include "savoryreach/daemon/json_rpc.hpp"
 
 #include "savoryreach/base/json_line.hpp"
+#include "savoryreach/base/json_reader.hpp"
 
 #include <absl/strings/str_cat.h>
 
-#include <memory>
-
 namespace savoryreach::daemon
 {
 namespace
@@ -32,22 +31,8 @@
 {
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    try
-    {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
-        {
-            return {};
-        }
-    }
-    catch (const Json::Exception&)
-    {
-        // jsoncpp throws on too deep nesting.
-        return {};
-    }
-    return value;
+    std::string ignored;
+    return base::read_json(builder, text, ignored).value_or(Json::Value());
 }
 
 json_rpc_server::json_rpc_server(http_server& server)
--- a/savoryreach/daemon/submission_json.cpp
+++ b/savoryreach/daemon/submission_json.cpp
@@ -1,13 +1,13 @@
 #include "savoryreach/daemon/submission_json.hpp"
 
 #include "savoryreach/base/json_line.hpp"
+#include "savoryreach/base/json_reader.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <json/json.h>
 
 #include <algorithm>
 #include <functional>
-#include <memory>
 #include <string_view>
 
 namespace savoryreach::daemon
@@ -266,26 +266,15 @@
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     constexpr int max_depth = 8;
     builder["stackLimit"] = max_depth;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
     std::string errors;
-    bool parsed = false;
-    try
-    {
-        parsed = reader->parse(body.data(), body.data() + body.size(), &value, &errors);
-    }
-    catch (const Json::Exception& e)
-    {
-        // jsoncpp throws on nesting beyond stackLimit.
-        errors = e.what();
-    }
-    if (!parsed)
+    const auto value = base::read_json(builder, body, errors);
+    if (!value)
     {
         last_reason_ = {error_kind::not_json, absl::StrCat("body: ", errors)};
         return std::nullopt;
     }
     std::optional<base::reason> error;
-    auto submission = read_submission(value, error);
+    auto submission = read_submission(*value, error);
     if (error)
     {
         last_reason_ = *error;
--- a/tests/config/declaration_test.cpp
+++ b/tests/config/declaration_test.cpp
@@ -57,6 +57,7 @@
 {
     expect_refusal("{", error_kind::not_json, "");
     expect_refusal(std::string(1000, '['), error_kind::not_json, "");
+    expect_refusal("{\"name\": \"\xe8\"}", error_kind::not_json, "UTF-8");
     expect_refusal(policy(R"("weight": 1, "weight": 2)"), error_kind::not_json, "weight");
     expect_refusal(policy(R"("wieght": 1)"), error_kind::unknown_field, "kind_policy.wieght");
     expect_refusal(policy(R"("maxWaitMs": 1)"), error_kind::unknown_field, "kind_policy.maxWaitMs");
--- a/tests/daemon/submission_json_test.cpp
+++ b/tests/daemon/submission_json_test.cpp
@@ -55,6 +55,13 @@
     expect_refused("[1]", base::error_kind::wrong_type, "body");
 }
 
+// An id that is not UTF-8 entered the keepers' log, which no follower could parse.
+TEST_F(submission_reader_test, text_that_is_not_utf8_is_refused)
+{
+    expect_refused(body("\"tasks\":[{\"payload\":\"\xe8\"}]"), base::error_kind::not_json, "body");
+    expect_refused(body(R"("tasks":[{"payload":"\udc00"}])"), base::error_kind::not_json, "body");
+}
+
 // Guards against a field of a newer version being ignored silently.
 TEST_F(submission_reader_test, unknown_field_is_refused_by_name)
 {
--- a/tests/net/frame_test.cpp
+++ b/tests/net/frame_test.cpp
@@ -47,6 +47,41 @@
     }
 }
 
+// A link was closed by a message with text of a caller that is not UTF-8, and an entry of the log
+// with such text was never committed.
+TEST_F(frame_test, text_of_any_bytes_is_decoded)
+{
+    const std::string text = "\xa9"
+                             "en\xe8"
+                             "ur";
+    schema::envelope message;
+    auto& config =
+        *message.mutable_append_request()->add_entries()->mutable_command()->mutable_fleet_config();
+    config.add_queues()->set_name(text);
+    config.add_services()->set_name(text);
+    auto& claims =
+        *message.mutable_append_request()->add_entries()->mutable_command()->mutable_claims();
+    claims.add_claims()->set_submission_id(text);
+    schema::envelope request;
+    request.mutable_front_request()->mutable_submit()->set_path(text);
+    request.mutable_front_request()->mutable_submit()->mutable_spec()->set_payload(text);
+    schema::envelope report;
+    report.mutable_endpoint_report()->add_labels(text);
+    std::string stream;
+    for (const auto& it : {message, request, report})
+    {
+        append_frame(stream, it);
+    }
+    frame_decoder decoder;
+    decoder.feed(stream);
+    for (const auto& it : {message, request, report})
+    {
+        const auto decoded = decoder.next();
+        ASSERT_TRUE(decoded) << decoder.error()->text;
+        EXPECT_EQ(decoded->SerializeAsString(), it.SerializeAsString());
+    }
+}
+
 // Guards against unbounded allocation when a peer speaks another protocol.
 TEST_F(frame_test, length_over_the_bound_ends_the_stream)
 {
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -3,6 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <map>
+#include <utility>
+#include <vector>
+
 namespace savoryreach::platform
 {
 namespace
@@ -19,6 +24,18 @@
            R"(","maxAttempts":3,"slackFactor":1.6})";
 }
 
+/// Bytes of ISO 8859-2, an overlong form, an encoded surrogate, a code point out of range, a
+/// sequence that is cut off, and escapes of half a surrogate pair.
+const std::array<std::string, 7> text_that_is_not_utf8 = {"\xa9"
+                                                          "en\xe8"
+                                                          "ur",
+                                                          "\xc0\xaf",
+                                                          "\xed\xa0\x80",
+                                                          "\xf4\x90\x80\x80",
+                                                          "\xe2\x82",
+                                                          R"(\udc00)",
+                                                          R"(\ud800\u0041)"};
+
 std::string config(const std::string& version, const std::string& routes)
 {
     return R"({"version":)" + version + R"(,"routes":[)" + routes + "]," + one_service + "}";
@@ -80,12 +97,49 @@
     EXPECT_FALSE(is_valid(config("-1", route("h", "/a/", "s1", 1500))));
 }
 
+// A route name in ISO 8859-2 entered the leader's log: no follower could parse the entry, so that
+// no later configuration was committed, and the leader did not start again.
+TEST_F(config_document, text_that_is_not_utf8_is_refused)
+{
+    for (const auto& text : text_that_is_not_utf8)
+    {
+        EXPECT_FALSE(is_valid(config("7", route(text, "/a/", "s1", 1500)))) << text;
+        EXPECT_NE(error_.find("UTF-8"), std::string::npos) << error_;
+        EXPECT_FALSE(
+            is_valid(R"({"version":7,"note":")" + text + R"(","routes":[],"services":[]})"));
+        EXPECT_FALSE(is_valid(R"({"version":7,")" + text + R"(":1,"routes":[],"services":[]})"));
+    }
+}
+
+TEST_F(config_document, text_outside_ascii_is_read_unchanged)
+{
+    for (const char* text :
+         {"\xc5\xa1 \xe2\x82\xac \xf0\x9f\x8e\xad", R"(\u0161 \u20ac \ud83c\udfad)"})
+    {
+        const auto read = decode_config(config("7", route(text, "/a/", "s1", 1500)), error_);
+        ASSERT_TRUE(read) << error_;
+        EXPECT_EQ(read->queues(0).host(), "\xc5\xa1 \xe2\x82\xac \xf0\x9f\x8e\xad");
+    }
+}
+
 class job_body : public ::testing::Test
 {
 protected:
     std::string error_;
 };
 
+// A job with such text closed the link between its front and the dispatcher.
+TEST_F(job_body, text_that_is_not_utf8_is_refused)
+{
+    for (const auto& text : text_that_is_not_utf8)
+    {
+        EXPECT_FALSE(decode_job(
+            R"({"spec":")" + text + R"(","bestEffort":true,"steps":[{"count":1}]})", error_))
+            << text;
+        EXPECT_NE(error_.find("UTF-8"), std::string::npos) << error_;
+    }
+}
+
 TEST_F(job_body, best_effort_job_is_accepted)
 {
     const auto job = decode_job(
@@ -129,6 +183,31 @@
 class endpoint_messages : public ::testing::Test
 {
 protected:
+    /// A valid heartbeat in which the member \p name has \p value.
+    static std::string heartbeat(const std::string& name, const std::string& value)
+    {
+        std::map<std::string, std::string> members = {
+            {"service", R"("s")"},
+            {"address", R"("10.0.0.1:80")"},
+            {"zone", R"("z")"},
+            {"version", R"("v1")"},
+            {"slots", "8"},
+            {"state", R"("ready")"},
+            {"coldRemainingMs", "0"},
+            {"capacity", R"({"cpu":64000,"memMb":10,"gpu":0})"},
+            {"labels", R"(["a","r1"])"},
+            {"clockMs", "5"},
+            {"seq", "4"},
+            {"born", "17"}};
+        members[name] = value;
+        std::string out;
+        for (const auto& [key, text] : members)
+        {
+            out += (out.empty() ? "{\"" : ",\"") + key + "\":" + text;
+        }
+        return out + "}";
+    }
+
     std::string error_;
 };
 
@@ -150,13 +229,21 @@
     for (
         const char* body :
         {"\x01\x02", R"({"state":"ready"})",
-         R"({"service":"s","address":"a","zone":"z","state":"odd","capacity":{"cpu":1,"memMb":1},"labels":[],"clockMs":5,"seq":4,"born":17})",
-         R"({"service":3,"address":"a","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1},"labels":[],"clockMs":5,"seq":4,"born":17})"})
+         R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"odd","capacity":{"cpu":1,"memMb":1},"labels":[],"clockMs":5,"seq":4,"born":17})",
+         R"({"service":3,"address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1},"labels":[],"clockMs":5,"seq":4,"born":17})"})
     {
         EXPECT_FALSE(decode_status("i-1", body, error_)) << body;
     }
 }
 
+TEST_F(endpoint_messages, text_that_is_not_utf8_is_refused)
+{
+    for (const auto& text : text_that_is_not_utf8)
+    {
+        EXPECT_FALSE(decode_status("i-1", heartbeat("labels", R"([")" + text + R"("])"), error_));
+    }
+}
+
 TEST_F(endpoint_messages, lists_of_runs_are_read)
 {
     const auto answer = decode_hold(
--- a/tests/storage/file_log_storage_test.cpp
+++ b/tests/storage/file_log_storage_test.cpp
@@ -42,6 +42,23 @@
     }
 };
 
+// An entry with text that is not UTF-8 was written, but stopped every later start.
+TEST_F(file_log_storage_test, entry_with_text_of_any_bytes_is_read_at_the_next_start)
+{
+    const std::string text = "\xa9"
+                             "en\xe8"
+                             "ur";
+    ASSERT_TRUE(open()) << reason;
+    auto written = entries(1, 2);
+    written[0].mutable_command()->mutable_fleet_config()->add_queues()->set_name(text);
+    written[1].mutable_command()->mutable_claims()->add_claims()->set_submission_id(text);
+    storage->append(written);
+    ASSERT_TRUE(open()) << reason;
+    ASSERT_EQ(state.entries.size(), 2U);
+    EXPECT_EQ(state.entries[0].command().fleet_config().queues(0).name(), text);
+    EXPECT_EQ(state.entries[1].command().claims().claims(0).submission_id(), text);
+}
+
 // Guards against acknowledged state that is missing after a restart, on a real disk.
 TEST_F(file_log_storage_test, reopen_on_posix_disk_gives_same_state_and_second_holder_is_refused)
 {
