Find a job by the queue that it was accepted in, not by the one in force

Cause: the dispatcher took the id from the path by the prefix of the queue in force. Without that queue it found no job. GET took the same way.

The cancel itself had no log line; one of an unknown job has one now (cancel_unknown), which tells this fault from a cancel that came too late.

Change: a job keeps its queue, so host and path of a request are compared with those of the job. No configuration can change which job a path names. A path of another queue that ends with the same id names no job any more; it did before.

Tests, failing before: empty_dispatcher.job_whose_queue_was_removed_is_found_and_cancelled, path_of_another_queue_finds_no_job.

--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -163,11 +163,7 @@
     }
     case schema::front_request::kFind:
     {
-        const auto* queue = router_.find(request.find().host(), request.find().path());
-        std::uint64_t id = 0;
-        const bool known = queue != nullptr &&
-                           parse_job_id(request.find().path(), queue->path_prefix(), id) &&
-                           jobs_.find(id) != nullptr;
+        const bool known = jobs_.find(request.find().host(), request.find().path()) != nullptr;
         answer(origin, known ? schema::answer_done : schema::answer_gone);
         break;
     }
@@ -453,16 +449,15 @@
 
 void dispatcher::cancel(const request_ref& origin, const schema::cancel_job& request)
 {
-    const auto* queue = router_.find(request.host(), request.path());
-    std::uint64_t id = 0;
-    if (queue == nullptr || !parse_job_id(request.path(), queue->path_prefix(), id) ||
-        jobs_.find(id) == nullptr)
+    const auto* known = jobs_.find(request.host(), request.path());
+    if (known == nullptr)
     {
+        events_.record("cancel_unknown", {{"path", request.path()}});
         answer(origin, schema::answer_gone);
         return;
     }
     ++counts_.cancelled;
-    end_job(id, schema::answer_failed, "cancelled");
+    end_job(known->id, schema::answer_failed, "cancelled");
     answer(origin, schema::answer_done);
 }
 
--- a/savoryreach/dispatch/job.hpp
+++ b/savoryreach/dispatch/job.hpp
@@ -68,6 +68,10 @@
     bool had_success = false;
     std::vector<std::string> failed_hosts; ///< hosts on which its runs failed
     absl::Time first_start_at = absl::InfiniteFuture();
+
+    /// True if requests for the job have this host and path. They outlive its queue: a newer
+    /// configuration may have removed it.
+    [[nodiscard]] bool has_address(const std::string& host, const std::string& path) const;
 };
 
 } // namespace savoryreach::dispatch
--- a/savoryreach/dispatch/job_table.cpp
+++ b/savoryreach/dispatch/job_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <string_view>
 
 namespace savoryreach::dispatch
 {
@@ -61,6 +62,15 @@
     return it == jobs_.end() ? nullptr : it->second.get();
 }
 
+job* job_table::find(const std::string& host, const std::string& path)
+{
+    std::uint64_t id = 0;
+    const auto prefix =
+        std::string_view(path).substr(0, path.size() - std::min(path.size(), job_id_digits));
+    auto* it = parse_job_id(path, prefix, id) ? find(id) : nullptr;
+    return it != nullptr && it->has_address(host, path) ? it : nullptr;
+}
+
 void job_table::remove(std::uint64_t id)
 {
     const auto it = jobs_.find(id);
--- a/savoryreach/dispatch/job_table.hpp
+++ b/savoryreach/dispatch/job_table.hpp
@@ -24,6 +24,8 @@
 
     job& add(job it);
     [[nodiscard]] job* find(std::uint64_t id);
+    /// The job whose requests have this host and path.
+    [[nodiscard]] job* find(const std::string& host, const std::string& path);
     void remove(std::uint64_t id);
     void clear();
 
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -9,6 +9,7 @@
   dispatch/endpoint_table.cpp
   dispatch/fleet_store.cpp
   dispatch/hold_tracker.cpp
+  dispatch/job.cpp
   dispatch/job_table.cpp
   dispatch/offered_load.cpp
   dispatch/placement.cpp
--- a/savoryreach/dispatch/task_id.cpp
+++ b/savoryreach/dispatch/task_id.cpp
@@ -14,9 +14,8 @@
 
 bool parse_job_id(std::string_view path, std::string_view prefix, std::uint64_t& id)
 {
-    constexpr std::size_t digits = 16;
     constexpr int base = 16;
-    if (path.size() != prefix.size() + digits || !path.starts_with(prefix))
+    if (path.size() != prefix.size() + job_id_digits || !path.starts_with(prefix))
     {
         return false;
     }
--- a/savoryreach/dispatch/task_id.hpp
+++ b/savoryreach/dispatch/task_id.hpp
@@ -4,6 +4,7 @@
 #include "schema/generated/dispatch.pb.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -40,7 +41,10 @@
     key.set_index(id.index);
 }
 
-/// Formats a job id for logs and callers: 16 hexadecimal digits.
+/// Length of a job id as text.
+inline constexpr std::size_t job_id_digits = 16;
+
+/// Formats a job id for logs and callers: hexadecimal digits.
 [[nodiscard]] std::string format_job_id(std::uint64_t job);
 /// Parses the job id that follows \p prefix in \p path; false when the path has another form.
 [[nodiscard]] bool parse_job_id(std::string_view path, std::string_view prefix, std::uint64_t& id);
--- a/tests/dispatch/core_test.cpp
+++ b/tests/dispatch/core_test.cpp
@@ -293,32 +293,85 @@
 {
 protected:
     empty_dispatcher()
+    {
+        store_.apply(config_with("/q/"));
+        dispatcher_.lead(3);
+    }
+
+    /// The next version of the configuration, with one queue.
+    schema::log_entry config_with(const std::string& path_prefix)
     {
         schema::log_entry entry;
         auto& config = *entry.mutable_command()->mutable_fleet_config();
-        config.set_version(1);
+        config.set_version(++version_);
         auto& queue = *config.add_queues();
         queue.set_host("h");
-        queue.set_path_prefix("/q/");
-        store_.apply(entry);
-        dispatcher_.lead(3);
+        queue.set_path_prefix(path_prefix);
+        return entry;
+    }
+
+    void change_queue(const std::string& path_prefix)
+    {
+        store_.apply(config_with(path_prefix));
+        dispatcher_.on_applied(version_);
     }
 
     void submit(std::uint64_t number, bool may_have_run)
     {
         schema::front_request request;
-        request.set_term(3);
         request.set_number(number);
         request.set_may_have_run(may_have_run);
         auto& submit = *request.mutable_submit();
         submit.set_host("h");
-        submit.set_path("/q/" + format_job_id(7));
+        submit.set_path(path_);
         submit.set_remaining_ms(1000);
         submit.mutable_spec()->set_id(7);
         submit.mutable_spec()->add_steps()->set_count(1);
+        send(request);
+    }
+
+    void cancel(std::uint64_t number, const std::string& path)
+    {
+        schema::front_request request;
+        request.set_number(number);
+        request.mutable_cancel()->set_host("h");
+        request.mutable_cancel()->set_path(path);
+        send(request);
+    }
+
+    void find(std::uint64_t number, const std::string& path)
+    {
+        schema::front_request request;
+        request.set_number(number);
+        request.mutable_find()->set_host("h");
+        request.mutable_find()->set_path(path);
+        send(request);
+    }
+
+    void send(schema::front_request& request)
+    {
+        request.set_term(3);
         dispatcher_.on_front_request("f", request);
     }
 
+    /// Kinds of the answers to the request with \p number.
+    [[nodiscard]] std::vector<schema::answer_kind> answers_to(std::uint64_t number) const
+    {
+        std::vector<schema::answer_kind> out;
+        for (const auto& it : port_.answers)
+        {
+            if (it.number() == number)
+            {
+                out.push_back(it.kind());
+            }
+        }
+        return out;
+    }
+
+    using kinds = std::vector<schema::answer_kind>;
+    const std::string path_ = "/q/" + format_job_id(7);
+    std::uint64_t version_ = 0;
+
     simulation::virtual_clock clock_;
     answer_recorder port_;
     observe::null_event_sink sink_;
@@ -349,6 +402,35 @@
     EXPECT_EQ(dispatcher_.counts().accepted, 1U);
 }
 
+// The cancel of a running job was answered "no such job" after the job's queue was removed, and its
+// tasks ran on.
+TEST_F(empty_dispatcher, job_whose_queue_was_removed_is_found_and_cancelled)
+{
+    submit(1, true);
+    change_queue("/other/");
+    find(2, path_);
+    EXPECT_EQ(answers_to(2), kinds{schema::answer_done});
+    cancel(3, path_);
+    EXPECT_EQ(answers_to(3), kinds{schema::answer_done});
+    EXPECT_EQ(dispatcher_.counts().jobs, 0U);
+}
+
+TEST_F(empty_dispatcher, path_of_another_queue_finds_no_job)
+{
+    submit(1, true);
+    change_queue("/other/");
+    for (const auto& path : {"/other/" + format_job_id(7), "/q/" + format_job_id(8),
+                             "/q/x" + format_job_id(7), std::string("/q/"), std::string()})
+    {
+        port_.answers.clear();
+        find(2, path);
+        cancel(3, path);
+        EXPECT_EQ(answers_to(2), kinds{schema::answer_gone}) << path;
+        EXPECT_EQ(answers_to(3), kinds{schema::answer_gone}) << path;
+    }
+    EXPECT_EQ(dispatcher_.counts().jobs, 1U);
+}
+
 class store : public ::testing::Test
 {
 protected:
