Answer the request of a known job whatever the configuration says now

Cause: a front repeats an open request every 900 ms. The dispatcher looked for the queue before it looked at its jobs, and the front passed the 404 on: it checked only two of the four answers that deny a run against the dispatcher's term.

Logs: job_accepted, tasks_placed, config_in_force, then job_ended with answer_completed; nothing for the 404. Such a refusal has a line now (job_refused, job_unknown).

Change: a request of a running job waits for its answer, and the repeated request of an ended one gets that job's answer; only then the queue counts. Without a queue a request that may have run gets 504, any other its refusal. All refusals are remembered for the request and repeated with the same kind, and held back by the front if they come from an earlier dispatcher: no order of copies and answers can deny a job that this or an earlier dispatcher started.

Related paths: a request refused for want of a configuration, queue or path, whose answer was in transit, was accepted when it was repeated under a newer configuration; a change of the dispatcher gave the same 404. Both covered.

Tests, failing before: fleet.jobs_whose_queue_is_removed_while_they_run_are_completed, jobs_whose_queue_is_removed_before_a_change_of_dispatcher_are_not_denied, empty_dispatcher.known_job_whose_queue_*, ended_job_whose_queue_*, request_that_may_have_run_in_a_removed_queue_*, repetition_of_a_request_without_a_queue_*, forwarder.no_answer_that_denies_a_run_counts_from_an_earlier_dispatcher.

--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -106,15 +106,15 @@
     port_.answer(origin.front, std::move(out));
 }
 
-void dispatcher::send_refusal(const request_ref& origin, absl::Duration retry_after,
-                              const std::string& reason)
+void dispatcher::send_refusal(const request_ref& origin, schema::answer_kind kind,
+                              absl::Duration retry_after, const std::string& reason)
 {
     schema::front_answer out;
-    out.set_kind(schema::answer_refused);
+    out.set_kind(kind);
     out.set_retry_after_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(retry_after)));
     out.set_reason(reason);
     send_answer(origin, std::move(out));
-    if (refused_.insert(origin).second)
+    if (refused_.try_emplace(origin, kind).second)
     {
         refused_order_.push_back({origin, clock_.now() + answer_retention});
     }
@@ -177,30 +177,19 @@
 void dispatcher::submit(const request_ref& origin, const schema::submit_job& request,
                         bool may_have_run)
 {
-    if (store_.config().version() == 0)
-    {
-        answer(origin, schema::answer_not_ready, "no configuration yet");
-        return;
-    }
-    const auto* queue = router_.find(request.host(), request.path());
-    if (queue == nullptr)
-    {
-        answer(origin, schema::answer_no_queue);
-        return;
-    }
-    if (refused_.contains(origin))
+    if (const auto it = refused_.find(origin); it != refused_.end())
     {
         // The refusal is in transit, or was lost with a link.
-        send_refusal(origin, drain_time(), "refused before");
+        send_refusal(origin, it->second, drain_time(), "refused before");
         return;
     }
     const auto id = request.spec().id();
-    if (request.path() != absl::StrCat(queue->path_prefix(), format_job_id(id)))
-    {
-        answer(origin, schema::answer_invalid, "the path does not end with the id of a job");
-        return;
-    }
-    if (auto* known = jobs_.find(id))
+    const auto* queue = router_.find(request.host(), request.path());
+    const bool has_queue =
+        queue != nullptr && request.path() == absl::StrCat(queue->path_prefix(), format_job_id(id));
+    // A newer configuration may have removed the queue of a job that runs or has ended.
+    if (auto* known = jobs_.find(id);
+        known != nullptr && (has_queue || known->has_address(request.host(), request.path())))
     {
         if (std::ranges::find(known->waiters, origin) == known->waiters.end())
         {
@@ -208,12 +197,18 @@
         }
         return;
     }
-    if (const auto it = ended_.find(id);
-        it != ended_.end() && it->second.kind != schema::answer_unspecified)
+    if (const auto it = ended_.find(id); it != ended_.end() &&
+                                         it->second.kind != schema::answer_unspecified &&
+                                         (has_queue || may_have_run))
     {
         answer(origin, it->second.kind, "ended before");
         return;
     }
+    if (!has_queue)
+    {
+        reject_without_queue(origin, request, may_have_run);
+        return;
+    }
     if (const auto reason = find_spec_error(request.spec()))
     {
         if (may_have_run)
@@ -221,12 +216,37 @@
             answer(origin, schema::answer_unknown, *reason);
             return;
         }
-        refuse(origin, id, not_ready_retry, *reason);
+        refuse(origin, id, schema::answer_refused, not_ready_retry, *reason);
         return;
     }
     accept(origin, request, *queue, may_have_run);
 }
 
+void dispatcher::reject_without_queue(const request_ref& origin, const schema::submit_job& request,
+                                      bool may_have_run)
+{
+    const auto id = request.spec().id();
+    if (may_have_run)
+    {
+        events_.record("job_unknown", {{"submission", format_job_id(id)},
+                                       {"reason", "its queue is not in the configuration"}});
+        answer(origin, schema::answer_unknown, "the job's queue has been removed");
+        return;
+    }
+    if (store_.config().version() == 0)
+    {
+        refuse(origin, id, schema::answer_not_ready, not_ready_retry, "no configuration yet");
+        return;
+    }
+    if (router_.find(request.host(), request.path()) == nullptr)
+    {
+        refuse(origin, id, schema::answer_no_queue, absl::ZeroDuration(), "no such queue");
+        return;
+    }
+    refuse(origin, id, schema::answer_invalid, absl::ZeroDuration(),
+           "the path does not end with the id of a job");
+}
+
 std::optional<std::string> dispatcher::find_spec_error(const schema::job_spec& spec)
 {
     std::size_t tasks = 0;
@@ -262,14 +282,14 @@
     return std::nullopt;
 }
 
-void dispatcher::refuse(const request_ref& origin, std::uint64_t id, absl::Duration retry_after,
-                        const std::string& reason)
+void dispatcher::refuse(const request_ref& origin, std::uint64_t id, schema::answer_kind kind,
+                        absl::Duration retry_after, const std::string& reason)
 {
     ++counts_.refused;
     events_.record("job_refused", {{"submission", format_job_id(id)},
                                    {"reason", reason},
                                    {"retry_ms", ms_text(retry_after)}});
-    send_refusal(origin, retry_after, reason);
+    send_refusal(origin, kind, retry_after, reason);
 }
 
 void dispatcher::accept(const request_ref& origin, const schema::submit_job& request,
@@ -318,7 +338,8 @@
     const bool refusable = !may_have_run;
     if (refusable && now + it.critical_path > it.answer_deadline)
     {
-        refuse(origin, it.id, drain_time(), "it would end too late to be of use");
+        refuse(origin, it.id, schema::answer_refused, drain_time(),
+               "it would end too late to be of use");
         return;
     }
     it.deferred = !can_meet_objective(it, now);
@@ -331,7 +352,7 @@
     const auto decision = decide_admission(admission_inputs_of(it, has_share, usable_rate), now);
     if (!decision.accepted && refusable && may_start())
     {
-        refuse(origin, it.id, decision.retry_at - now,
+        refuse(origin, it.id, schema::answer_refused, decision.retry_at - now,
                absl::StrCat("expected wait of ", ms_text(decision.expected_wait), " ms",
                             has_share ? "" : ", queue over its share of the capacity"));
         return;
@@ -560,7 +581,7 @@
     {
         if (kind == schema::answer_refused)
         {
-            send_refusal(origin, drain_time(), reason);
+            send_refusal(origin, kind, drain_time(), reason);
         }
         else
         {
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -16,7 +16,6 @@
 #include "schema/generated/ledger.pb.h"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
@@ -125,11 +124,15 @@
                 const schema::queue_config& queue, bool may_have_run);
     [[nodiscard]] admission_inputs admission_inputs_of(const job& it, bool has_share, double rate);
     [[nodiscard]] std::optional<std::string> find_spec_error(const schema::job_spec& spec);
+    /// Refuses a job that the configuration in force has no queue for, or says that its outcome is
+    /// not known if an earlier copy of the request may have started it.
+    void reject_without_queue(const request_ref& origin, const schema::submit_job& request,
+                              bool may_have_run);
     /// Ends a job that has no started task and can't end by its answer deadline if its tasks start
     /// after \p wait.
     bool drop_if_too_late(const job& it, absl::Duration wait);
-    void refuse(const request_ref& origin, std::uint64_t id, absl::Duration retry_after,
-                const std::string& reason);
+    void refuse(const request_ref& origin, std::uint64_t id, schema::answer_kind kind,
+                absl::Duration retry_after, const std::string& reason);
     void abandon(const request_ref& origin);
     void cancel(const request_ref& origin, const schema::cancel_job& request);
     void count_pending(const request_ref& origin, const schema::count_pending& request);
@@ -137,10 +140,10 @@
     void answer(const request_ref& origin, schema::answer_kind kind,
                 const std::string& reason = {});
     void send_answer(const request_ref& origin, schema::front_answer out);
-    /// Answers \p origin that nothing has run, and refuses the same request again if it is
+    /// Answers \p origin that nothing has run, and gives the same answer again if the request is
     /// repeated.
-    void send_refusal(const request_ref& origin, absl::Duration retry_after,
-                      const std::string& reason);
+    void send_refusal(const request_ref& origin, schema::answer_kind kind,
+                      absl::Duration retry_after, const std::string& reason);
     /// Time that the usable endpoints need for the work that waits, at most the longest retry time.
     [[nodiscard]] absl::Duration drain_time();
     void adopt_runs(job& it);
@@ -213,8 +216,8 @@
     absl::flat_hash_map<task_id, std::uint32_t> active_runs_;
     absl::flat_hash_map<std::uint64_t, ended_job> ended_;
     std::deque<std::uint64_t> ended_order_;
-    absl::btree_set<request_ref> refused_;
-    std::deque<refused_request> refused_order_; ///< oldest first
+    absl::btree_map<request_ref, schema::answer_kind> refused_; ///< and the answer that each got
+    std::deque<refused_request> refused_order_;                 ///< oldest first
     /// Ends of runs of an earlier term whose jobs have not been submitted to this dispatcher yet.
     absl::flat_hash_map<task_id, schema::run_outcome> orphan_ends_;
     std::vector<pending_change> pending_changes_;
--- a/savoryreach/dispatch/request_forwarder.cpp
+++ b/savoryreach/dispatch/request_forwarder.cpp
@@ -19,6 +19,13 @@
 /// Retry time for a client whose request is refused because no dispatcher is known.
 constexpr std::uint32_t no_dispatcher_retry_ms = 1000;
 
+/// True for the answers to a job that say that nothing of it has run.
+bool denies_run(schema::answer_kind kind)
+{
+    return kind == schema::answer_refused || kind == schema::answer_not_ready ||
+           kind == schema::answer_no_queue || kind == schema::answer_invalid;
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(const base::clock& clock, request_port& port,
@@ -112,9 +119,8 @@
         return;
     }
     // A refusal by an earlier dispatcher is outdated: the current one may have started the job.
-    const bool refused =
-        answer.kind() == schema::answer_refused || answer.kind() == schema::answer_not_ready;
-    if (refused && it->second.request.has_submit() && answer.term() != it->second.term)
+    if (denies_run(answer.kind()) && it->second.request.has_submit() &&
+        answer.term() != it->second.term)
     {
         events_.record("refusal_outdated",
                        {{"submission", format_job_id(it->second.request.submit().spec().id())},
--- a/tests/dispatch/core_test.cpp
+++ b/tests/dispatch/core_test.cpp
@@ -241,6 +241,24 @@
     EXPECT_EQ(answers_[0].kind(), schema::answer_completed);
 }
 
+// An earlier dispatcher without the queue answered "no such queue" while the current one, which has
+// it, started the job.
+TEST_F(forwarder, no_answer_that_denies_a_run_counts_from_an_earlier_dispatcher)
+{
+    for (const auto kind : {schema::answer_no_queue, schema::answer_invalid,
+                            schema::answer_not_ready, schema::answer_refused})
+    {
+        forwarder_.set_dispatcher(dispatcher_ref{"d", 1});
+        schema::front_answer late;
+        late.set_number(add_request(absl::Seconds(5)));
+        late.set_kind(kind);
+        late.set_term(1);
+        forwarder_.set_dispatcher(dispatcher_ref{"e", 2});
+        forwarder_.on_answer(late);
+        EXPECT_TRUE(answers_.empty()) << schema::answer_kind_Name(kind);
+    }
+}
+
 TEST_F(forwarder, refusal_of_the_only_copy_is_passed_to_the_client)
 {
     forwarder_.set_dispatcher(dispatcher_ref{"d", 1});
@@ -402,6 +420,52 @@
     EXPECT_EQ(dispatcher_.counts().accepted, 1U);
 }
 
+// A front repeated the request of a running job after the job's queue was removed: the client was
+// told that there is no such queue, while all tasks ran.
+TEST_F(empty_dispatcher, known_job_whose_queue_was_removed_keeps_its_request)
+{
+    submit(1, true);
+    change_queue("/other/");
+    submit(1, true);
+    submit(2, false); // the client tries again through another front
+    EXPECT_TRUE(port_.answers.empty());
+    cancel(3, path_);
+    EXPECT_EQ(answers_to(1), kinds{schema::answer_failed});
+    EXPECT_EQ(answers_to(2), kinds{schema::answer_failed});
+}
+
+TEST_F(empty_dispatcher, ended_job_whose_queue_was_removed_repeats_its_answer_to_its_request)
+{
+    submit(1, true);
+    cancel(2, path_);
+    change_queue("/other/");
+    submit(1, true);
+    EXPECT_EQ(answers_to(1), (kinds{schema::answer_failed, schema::answer_failed}));
+    submit(3, false); // a new request, which the configuration in force does not allow
+    EXPECT_EQ(answers_to(3), kinds{schema::answer_no_queue});
+}
+
+// After a change of the dispatcher the request of a running job got "no such queue", too.
+TEST_F(empty_dispatcher, request_that_may_have_run_in_a_removed_queue_has_an_unknown_outcome)
+{
+    change_queue("/other/");
+    submit(1, true);
+    EXPECT_EQ(answers_to(1), kinds{schema::answer_unknown});
+    EXPECT_EQ(dispatcher_.counts().accepted, 0U);
+}
+
+// The repetition of a request whose "no such queue" was in transit was accepted under a newer
+// configuration, and the client got the first answer although the job ran.
+TEST_F(empty_dispatcher, repetition_of_a_request_without_a_queue_gets_the_same_answer)
+{
+    change_queue("/other/");
+    submit(1, false);
+    change_queue("/q/");
+    submit(1, true);
+    EXPECT_EQ(answers_to(1), (kinds{schema::answer_no_queue, schema::answer_no_queue}));
+    EXPECT_EQ(dispatcher_.counts().accepted, 0U);
+}
+
 // The cancel of a running job was answered "no such job" after the job's queue was removed, and its
 // tasks ran on.
 TEST_F(empty_dispatcher, job_whose_queue_was_removed_is_found_and_cancelled)
--- a/tests/dispatch/fleet_test.cpp
+++ b/tests/dispatch/fleet_test.cpp
@@ -182,6 +182,39 @@
 
 // Load pattern: after an outage the fronts forward all requests that they held at once. Most of
 // them are late already, and jobs that could meet their objective were refused for the backlog.
+// Queues were removed while their jobs ran: at the next repetition of its request each client was
+// told that there is no such queue, and all tasks ran to their end.
+TEST_F(fleet, jobs_whose_queue_is_removed_while_they_run_are_completed)
+{
+    fleet_world world(4, 31, {0.6});
+    world.run(absl::Seconds(3));
+    world.load({{"/long/", 4, 900, 4.0}}, absl::Seconds(1));
+    world.run(absl::Seconds(1));
+    world.set_queues({"/hold/"});
+    world.run(absl::Seconds(5));
+    const auto sent = world.count(0, 99, std::nullopt);
+    EXPECT_GT(sent, 2U);
+    EXPECT_EQ(world.count(0, 99, schema::answer_completed), sent);
+    expect_no_violations(world);
+}
+
+// The next dispatcher does not know these jobs and has no queue for them; their tasks have run.
+TEST_F(fleet, jobs_whose_queue_is_removed_before_a_change_of_dispatcher_are_not_denied)
+{
+    fleet_world world(4, 32, {0.6});
+    world.run(absl::Seconds(3));
+    world.load({{"/long/", 4, 900, 4.0}}, absl::Seconds(1));
+    world.run(absl::Seconds(1));
+    world.set_queues({"/hold/"});
+    world.run(absl::Milliseconds(100));
+    world.change_dispatcher(absl::Milliseconds(500));
+    world.run(absl::Seconds(6));
+    const auto sent = world.count(0, 99, std::nullopt);
+    EXPECT_GT(sent, 2U);
+    EXPECT_EQ(world.count(0, 99, schema::answer_unknown), sent);
+    expect_no_violations(world);
+}
+
 TEST_F(fleet, requests_held_during_an_outage_do_not_displace_those_that_come_after_it)
 {
     for (const std::uint64_t seed : {41U, 42U, 43U})
--- a/tests/dispatch/fleet_world.cpp
+++ b/tests/dispatch/fleet_world.cpp
@@ -78,19 +78,7 @@
         hosts_.push_back(std::move(it));
     }
     schema::log_entry entry;
-    auto& config = *entry.mutable_command()->mutable_fleet_config();
-    config.set_version(1);
-    for (const char* path : {"/hold/", "/long/", "/short/"})
-    {
-        auto& queue = *config.add_queues();
-        queue.set_name(path);
-        queue.set_host(queue_host);
-        queue.set_path_prefix(path);
-        queue.set_service("svc");
-        queue.set_max_attempts(4);
-        queue.set_slack_factor(slack_factor);
-        queue.set_target_ms(target_ms);
-    }
+    *entry.mutable_command() = config_with({"/hold/", "/long/", "/short/"});
     store_.apply(entry);
     lead();
     for (auto& it : hosts_)
@@ -116,6 +104,30 @@
           });
 }
 
+schema::command fleet_world::config_with(const std::vector<std::string>& paths) const
+{
+    schema::command out;
+    auto& config = *out.mutable_fleet_config();
+    config.set_version(store_.config().version() + 1);
+    for (const auto& path : paths)
+    {
+        auto& queue = *config.add_queues();
+        queue.set_name(path);
+        queue.set_host(queue_host);
+        queue.set_path_prefix(path);
+        queue.set_service("svc");
+        queue.set_max_attempts(4);
+        queue.set_slack_factor(slack_factor);
+        queue.set_target_ms(target_ms);
+    }
+    return out;
+}
+
+void fleet_world::set_queues(const std::vector<std::string>& paths)
+{
+    propose(config_with(paths));
+}
+
 void fleet_world::every(absl::Duration interval, std::function<void()> action)
 {
     events_.after(interval,
@@ -205,7 +217,9 @@
                     done.answer = it.kind();
                     done.answered_at = clock_.now();
                     const bool refused = it.kind() == schema::answer_refused ||
-                                         it.kind() == schema::answer_not_ready;
+                                         it.kind() == schema::answer_not_ready ||
+                                         it.kind() == schema::answer_no_queue ||
+                                         it.kind() == schema::answer_invalid;
                     if (refused && monitor_.has_started(id))
                     {
                         monitor_.violation(absl::StrCat("job ", id, " was refused and has run"));
--- a/tests/dispatch/fleet_world.hpp
+++ b/tests/dispatch/fleet_world.hpp
@@ -65,6 +65,8 @@
     void run(absl::Duration length);
     /// Removes the dispatcher without notice; another one leads after \p outage.
     void change_dispatcher(absl::Duration outage);
+    /// Commits a configuration with the queues of \p paths.
+    void set_queues(const std::vector<std::string>& paths);
     /// Cuts or restores the connection between the host's agent and the dispatcher.
     void cut(std::size_t host, bool is_cut);
     /// From now on log() collects the events of all processes.
@@ -102,6 +104,8 @@
     };
 
     void lead();
+    /// The next version of the configuration, with the queues of \p paths.
+    [[nodiscard]] schema::command config_with(const std::vector<std::string>& paths) const;
     void every(absl::Duration interval, std::function<void()> action);
     void tick_host(host& it);
 
