Refuse heartbeats with values out of range

Operators of other systems reported: one odd entry of another writer among those of the workers (nested very deeply, a number too large, a port out of range) ended the processes that read it, or they stopped following the list.

Here no such heartbeat ended a process (malformed_bodies, which held before), but an agent stopped following its endpoint: one with a start far in the future took the endpoint's place until the agent restarted, and a negative `seq` became the highest number there is. Capacities were cut to 32 bits: -1 became 4,294,967 cores. A port out of range was taken as it was.

Cause: the decoder checked types, not ranges.

The agent ignores an incarnation that started more than an hour after its clock.

Tests, failing before: endpoint_messages.heartbeat_with_a_value_out_of_range_is_refused, list_with_a_clock_out_of_range_is_refused, settings_file.number_out_of_range_is_refused, agent_calls.heartbeat_from_the_future_takes_no_endpoints_place.

--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -42,6 +42,9 @@
 /// The start time of a run is known if the copies of its start call were sent within this share of
 /// its declared time.
 constexpr double start_time_tolerance = 0.1;
+/// An incarnation that started later than this host's clock shows by more than this time is none:
+/// it would take the place of all that follow.
+constexpr absl::Duration max_clock_lead = absl::Hours(1);
 /// A longer time between ticks means that the process did not run.
 constexpr absl::Duration max_tick_gap = absl::Milliseconds(150);
 /// Interval of progress reports, and the age from which a run is included, which leaves out short
@@ -76,6 +79,13 @@
         {
             return;
         }
+        if (status.born_ms > absl::ToUnixMillis(clock_.wall_now() + max_clock_lead))
+        {
+            events_.record("heartbeat_ignored", {{"endpoint", status.id},
+                                                 {"born_ms", absl::StrCat(status.born_ms)},
+                                                 {"reason", "started in the future"}});
+            return;
+        }
         begin_incarnation(status);
         return;
     }
--- a/tests/dispatch/endpoint_agent_test.cpp
+++ b/tests/dispatch/endpoint_agent_test.cpp
@@ -144,6 +144,31 @@
                           sink_,  metrics_, {"host", 1, absl::Seconds(1), absl::Milliseconds(650)}};
 };
 
+// Operators' report: one odd entry, and the processes stopped following the list. A heartbeat of
+// another writer with a start far in the future took the endpoint's place, and the endpoint's own
+// heartbeats were ignored as those of an earlier incarnation.
+TEST_F(agent_calls, heartbeat_from_the_future_takes_no_endpoints_place)
+{
+    auto odd = status_;
+    odd.id = "i-2";
+    odd.born_ms = 4'000'000'000'000'000;
+    agent_.on_status(odd);
+    status_.sequence = 2;
+    status_.draining = true;
+    agent_.on_status(status_);
+    agent_.tick();
+    EXPECT_EQ(reports_.reports.back().endpoint(), "i-1");
+    EXPECT_TRUE(reports_.reports.back().draining());
+}
+
+TEST_F(agent_calls, endpoint_that_starts_again_takes_its_own_place)
+{
+    status_.born_ms = absl::ToUnixMillis(clock_.wall_now() + absl::Seconds(6));
+    agent_.on_status(status_);
+    agent_.tick();
+    EXPECT_EQ(reports_.reports.back().born_ms(), status_.born_ms);
+}
+
 TEST_F(agent_calls, unanswered_start_is_sent_again_within_a_fraction_of_its_objective)
 {
     order_start(0);
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -91,6 +91,17 @@
     EXPECT_FALSE(is_valid(config("7", route("h", "/a/", "s1", 0))));
 }
 
+TEST_F(config_document, number_that_cannot_be_represented_is_refused)
+{
+    for (const char* number : {"1e999", "-1e999"})
+    {
+        auto odd = route("h", "/a/", "s1", 1500);
+        odd.replace(odd.find("1.6"), 3, number);
+        EXPECT_FALSE(is_valid(config("7", odd))) << number;
+        EXPECT_FALSE(is_valid(config(number, route("h", "/a/", "s1", 1500)))) << number;
+    }
+}
+
 TEST_F(config_document, version_of_another_type_is_refused)
 {
     EXPECT_FALSE(is_valid(config("\"7\"", route("h", "/a/", "s1", 1500))));
@@ -236,6 +247,38 @@
     }
 }
 
+// Operators' report: an odd entry of another writer ended the processes that read the list, or they
+// stopped following it. Numbers out of range were cut to 32 bits or taken as they were.
+TEST_F(endpoint_messages, heartbeat_with_a_value_out_of_range_is_refused)
+{
+    const std::string deep = std::string(100'000, '[');
+    const std::pair<const char*, std::vector<std::string>> odd_members[] = {
+        {"address",
+         {R"("10.0.0.1:99999")", R"("10.0.0.1:0")", R"("10.0.0.1:-1")", R"("10.0.0.1")",
+          R"("10.0.0.300:80")", R"("")", "[]"}},
+        {"capacity",
+         {R"({"cpu":4294967296,"memMb":1})", R"({"cpu":-1,"memMb":1})",
+          R"({"cpu":1,"memMb":9223372036854775807})", R"({"cpu":1,"memMb":1,"gpu":-1})",
+          R"({"cpu":1e300,"memMb":1})", R"({"cpu":1})", "[]", deep}},
+        {"labels", {R"(["a",3])", R"([[["a"]]])", "{}", deep}},
+        {"clockMs", {"-1", "9223372036854775807", "1e300", "1e999", "-1e999"}},
+        {"seq", {"-1", "9223372036854775807", "18446744073709551615", "1e999"}},
+        {"born", {"-1", "9223372036854775807", "18446744073709551616", "0.5"}},
+        {"slots", {R"("8")", "1e999", "[]"}},
+        {"version", {"3", "{}"}},
+        {"coldRemainingMs", {R"("0")", "{}"}}};
+    for (const auto& [name, values] : odd_members)
+    {
+        for (const auto& value : values)
+        {
+            EXPECT_FALSE(decode_status("i-1", heartbeat(name, value), error_))
+                << name << " " << value.substr(0, 60);
+            EXPECT_FALSE(error_.empty());
+        }
+    }
+    EXPECT_TRUE(decode_status("i-1", heartbeat("slots", "8"), error_)) << error_;
+}
+
 TEST_F(endpoint_messages, text_that_is_not_utf8_is_refused)
 {
     for (const auto& text : text_that_is_not_utf8)
@@ -244,6 +287,20 @@
     }
 }
 
+TEST_F(endpoint_messages, list_with_a_clock_out_of_range_is_refused)
+{
+    for (const char* clock : {"-1", "9223372036854775807", "1e300", "1e999"})
+    {
+        EXPECT_FALSE(decode_hold(
+            std::string(R"({"clockMs":)") + clock + R"(,"running":[],"finished":[]})", error_))
+            << clock;
+        std::int64_t clock_ms = 0;
+        EXPECT_EQ(decode_start_result(200, std::string(R"({"clockMs":)") + clock + "}", clock_ms),
+                  dispatch::start_result::started);
+        EXPECT_EQ(clock_ms, 0) << clock;
+    }
+}
+
 TEST_F(endpoint_messages, lists_of_runs_are_read)
 {
     const auto answer = decode_hold(
@@ -320,6 +377,28 @@
     EXPECT_EQ(read->longest_lease, absl::Milliseconds(900));
 }
 
+// A port above 65,535 was cut to 16 bits, and a negative number of failures became a huge one.
+TEST_F(settings_file, number_out_of_range_is_refused)
+{
+    const std::pair<const char*, const char*> changes[] = {
+        {"7720", "73256"},
+        {"7720", "0"},
+        {"7720", "-1"},
+        {"\"machines\":2", "\"machines\":-1"},
+        {"\"machines\":2", "\"machines\":4294967296"},
+        {"\"holdMaxMs\":900", "\"holdMaxMs\":-1"},
+        {"\"holdMaxMs\":900", "\"graceS\":1e999"},
+        {"\"holdMaxMs\":900", "\"graceS\":-1"}};
+    for (const auto& [from, to] : changes)
+    {
+        auto changed = text_;
+        changed.replace(changed.find(from), std::string(from).size(), to);
+        error_.clear();
+        EXPECT_FALSE(parse_settings(changed, error_)) << to;
+        EXPECT_FALSE(error_.empty()) << to;
+    }
+}
+
 TEST_F(settings_file, missing_field_is_named)
 {
     text_.replace(text_.find("nodeName"), 8, "nodename");
--- a/tests/soak/soak_endpoint.hpp
+++ b/tests/soak/soak_endpoint.hpp
@@ -265,7 +265,7 @@
                 path = "/savoryreach/instances/" + id() + "/heartbeat";
                 beat["born"] = Json::Int64(life_);
                 beat["service"] = "s1";
-                beat["address"] = ip_;
+                beat["address"] = ip_ + ":" + std::to_string(endpoint_port);
                 beat["zone"] = "z1";
                 beat["state"] = "ready";
                 beat["seq"] = Json::UInt64(++sequence_);
