--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -26,6 +26,9 @@
 constexpr int ready_port = 8167;
 constexpr std::size_t client_threads = 4;
 constexpr int client_deadline_ms = 3000;
+constexpr const char* lasting_prefix = "/jobs/";
+/// Prefix of a queue that is removed and added again while its jobs run.
+constexpr const char* removed_prefix = "/seasonal/";
 /// A front that was told to end stays reachable for 3.2 s, then ends by itself.
 constexpr milliseconds drain(4500);
 /// After the last fault everything must be served again within this time: an election, and the
@@ -149,14 +152,15 @@
         processes_.push_back(std::make_unique<process>(name, role, folder_, it));
     }
 
-    [[nodiscard]] bool configure(int front, std::int64_t version) const
+    /// Every second version removes the second queue, which the next one adds again.
+    [[nodiscard]] static std::string configuration(std::int64_t version)
     {
         Json::Value service;
         service["name"] = "s1";
         Json::Value route;
         route["name"] = "r1";
         route["host"] = "soak.example";
-        route["pathPrefix"] = "/jobs/";
+        route["pathPrefix"] = lasting_prefix;
         route["service"] = "s1";
         route["timeoutMs"] = client_deadline_ms;
         route["targetRuntimeMs"] = 60;
@@ -166,12 +170,37 @@
         body["version"] = Json::Int64(version);
         body["services"].append(service);
         body["routes"].append(route);
+        if (version % 2 == 1)
+        {
+            route["name"] = "r2";
+            route["pathPrefix"] = removed_prefix;
+            body["routes"].append(route);
+        }
+        return base::json_line(body);
+    }
+    /// Status of the answer of a front's operator interface; 0 for none.
+    [[nodiscard]] static int send_configuration(int front, const std::string& body)
+    {
         httplib::Client to(ip_of(10 + front), control_port);
         to.set_read_timeout(1, 0);
         to.set_connection_timeout(0, 300'000);
-        const auto reply =
-            to.Post("/savoryreach/config/replace", base::json_line(body), "application/json");
-        return reply && reply->status == 200;
+        const auto reply = to.Post("/savoryreach/config/replace", body, "application/json");
+        return reply ? reply->status : 0;
+    }
+    [[nodiscard]] static bool configure(int front, std::int64_t version)
+    {
+        return send_configuration(front, configuration(version)) == 200;
+    }
+    /// A configuration with a name in ISO 8859-2 must be refused, and must not stop later ones.
+    void send_unreadable_configuration(int front, std::int64_t version)
+    {
+        auto body = configuration(version);
+        body.replace(body.find("r1"), 2, "r\xe8");
+        const int status = send_configuration(front, body);
+        if (status != 400 && status != 0)
+        {
+            watch_.violation("an unreadable configuration was answered " + std::to_string(status));
+        }
     }
     /// The version in force by the first front that says one; 0 when none does.
     [[nodiscard]] std::int64_t version_in_force() const
@@ -190,7 +219,7 @@
     }
 
     /// One job over an open connection; the status of its answer, 0 for none.
-    int send_job(httplib::Client& to, const std::string& id, int tasks)
+    int send_job(httplib::Client& to, const std::string& prefix, const std::string& id, int tasks)
     {
         Json::Value step;
         step["count"] = tasks;
@@ -204,13 +233,13 @@
         const httplib::Headers headers{
             {"Host", "soak.example"},
             {"X-Savoryreach-Deadline-Ms", std::to_string(client_deadline_ms)}};
-        const auto reply =
-            to.Post("/jobs/" + id, headers, base::json_line(body), "application/json");
+        const auto reply = to.Post(prefix + id, headers, base::json_line(body), "application/json");
         if (!reply)
         {
             return 0;
         }
-        if (reply->status == 429 || reply->status == 503)
+        const bool has_no_queue = reply->status == 404 && prefix == removed_prefix;
+        if (reply->status == 429 || reply->status == 503 || has_no_queue)
         {
             watch_.refused(id);
         }
@@ -239,8 +268,10 @@
             while (status != 0 && !clients_end_)
             {
                 char id[17];
-                std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(random()));
-                status = send_job(to, id, 1 + static_cast<int>(random() % 3));
+                const auto number = random();
+                std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(number));
+                status = send_job(to, number % 4 == 0 ? removed_prefix : lasting_prefix, id,
+                                  1 + static_cast<int>(random() % 3));
                 std::this_thread::sleep_for(milliseconds(random() % 40));
             }
         }
@@ -258,7 +289,7 @@
             to.set_read_timeout(client_deadline_ms / 1000 + 1, 0);
             char id[17];
             std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(random_()));
-            if (send_job(to, id, 1) == 200)
+            if (send_job(to, lasting_prefix, id, 1) == 200)
             {
                 ++front;
                 continue;
@@ -359,7 +390,12 @@
     {
         harm();
         repair(clock::now());
-        if (configure(static_cast<int>(random_() % fronts), ++version))
+        const auto front = static_cast<int>(random_() % fronts);
+        if (version % 4 == 0)
+        {
+            send_unreadable_configuration(front, version + 1);
+        }
+        if (configure(front, ++version))
         {
             acknowledged = version;
         }
