--- a/savoryreach/base/json_reader.hpp
+++ b/savoryreach/base/json_reader.hpp
@@ -13,8 +13,8 @@
 /// Parses \p text, which another process or an operator wrote. Returns nullopt and sets \p error
 /// when it is not JSON by \p rules, is nested too deeply, or has text that is not Unicode: bytes
 /// that are not UTF-8, or an escape of half a surrogate pair. JsonCpp itself accepts any bytes.
-[[nodiscard]] std::optional<Json::Value>
-read_json(const Json::CharReaderBuilder& rules, const std::string& text, std::string& error);
+[[nodiscard]] std::optional<Json::Value> read_json(const Json::CharReaderBuilder& rules,
+                                                   const std::string& text, std::string& error);
 
 } // namespace savoryreach::base
 
