Let an endpoint that goes on sending heartbeats keep its place

Cause: the agent believed the latest start that it had been told of.

Change: an incarnation of another service doesn't take the place of one that sends heartbeats; one that has sent none for 2.5 intervals loses its place to the next that does, whichever started later. A late heartbeat of an earlier incarnation still changes nothing, since the present one sends its own meanwhile. An endpoint that has left stays out.

Tests, failing before: agent_calls.heartbeat_of_another_service_takes_no_endpoints_place, endpoint_that_goes_on_sending_heartbeats_gets_its_place_back. Held before: late_heartbeat_of_an_earlier_incarnation_changes_nothing.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -211,7 +211,8 @@
 {
     boost::asio::io_context io(1);
     daemon::agent_node node(io, clock, hybrid,
-                            {config.node_name, config.ip, config.seeds, config.longest_lease});
+                            {config.node_name, config.ip, config.seeds, config.longest_lease,
+                             config.heartbeat_interval});
     platform::endpoint_client calls(io, config.ip, config.endpoint_address, node);
     platform::agent_api api(io, node);
     node.start(calls);
--- a/savoryreach/daemon/agent_node.cpp
+++ b/savoryreach/daemon/agent_node.cpp
@@ -54,7 +54,8 @@
     agent_ = std::make_unique<dispatch::endpoint_agent>(
         clock_, calls, *this, events_, metrics_,
         dispatch::endpoint_agent_options{options_.host, process_nonce_, options_.longest_lease,
-                                         dispatch::dispatcher::lease_renewal_window});
+                                         dispatch::dispatcher::lease_renewal_window,
+                                         options_.heartbeat_interval});
     log(log_level::info, "started", {{"name", options_.host}, {"role", "agent"}});
     ticks_.start([this] { return tick(); });
 }
--- a/savoryreach/daemon/agent_node.hpp
+++ b/savoryreach/daemon/agent_node.hpp
@@ -24,8 +24,9 @@
 {
     std::string host;
     std::string ip;
-    std::vector<std::string> seeds; ///< addresses to connect to first
-    absl::Duration longest_lease;   ///< of a run on the endpoint
+    std::vector<std::string> seeds;    ///< addresses to connect to first
+    absl::Duration longest_lease;      ///< of a run on the endpoint
+    absl::Duration heartbeat_interval; ///< of the endpoint
 };
 
 /// The agent process on an endpoint's host: its links to the core and the event loop of its agent.
--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -45,6 +45,8 @@
 /// An incarnation that started later than this host's clock shows by more than this time is none:
 /// it would take the place of all that follow.
 constexpr absl::Duration max_clock_lead = absl::Hours(1);
+/// An incarnation keeps its place for this many heartbeat intervals after its latest heartbeat.
+constexpr double kept_heartbeat_intervals = 2.5;
 /// A longer time between ticks means that the process did not run.
 constexpr absl::Duration max_tick_gap = absl::Milliseconds(150);
 /// Interval of progress reports, and the age from which a run is included, which leaves out short
@@ -74,16 +76,12 @@
     const bool same = known_ && status.id == status_.id && status.born_ms == status_.born_ms;
     if (!same)
     {
-        // Ignores a delayed heartbeat of an earlier incarnation.
-        if (status.born_ms < status_.born_ms)
-        {
-            return;
-        }
-        if (status.born_ms > absl::ToUnixMillis(clock_.wall_now() + max_clock_lead))
+        if (const auto* reason = rejection_reason(status))
         {
             events_.record("heartbeat_ignored", {{"endpoint", status.id},
                                                  {"born_ms", absl::StrCat(status.born_ms)},
-                                                 {"reason", "started in the future"}});
+                                                 {"service", status.service},
+                                                 {"reason", reason}});
             return;
         }
         begin_incarnation(status);
@@ -93,6 +91,7 @@
     {
         return;
     }
+    last_heartbeat_at_ = clock_.now();
     const bool changed = status.draining != status_.draining ||
                          status.capacity != status_.capacity || status.service != status_.service;
     status_ = status;
@@ -106,12 +105,39 @@
     }
 }
 
+const char* endpoint_agent::rejection_reason(const endpoint_status& status) const
+{
+    constexpr const char* is_earlier = "earlier incarnation";
+    if (status.born_ms > absl::ToUnixMillis(clock_.wall_now() + max_clock_lead))
+    {
+        return "started in the future";
+    }
+    if (!known_ || (left_ && status.born_ms >= status_.born_ms))
+    {
+        return nullptr;
+    }
+    if (left_)
+    {
+        return is_earlier;
+    }
+    if (clock_.now() >= last_heartbeat_at_ + options_.heartbeat_interval * kept_heartbeat_intervals)
+    {
+        return nullptr;
+    }
+    if (status.born_ms < status_.born_ms)
+    {
+        return is_earlier;
+    }
+    return status.service == status_.service ? nullptr : "another service";
+}
+
 void endpoint_agent::begin_incarnation(const endpoint_status& status)
 {
     const bool other = status.id != status_.id || status.born_ms != status_.born_ms;
     status_ = status;
     known_ = true;
     left_ = false;
+    last_heartbeat_at_ = clock_.now();
     set_endpoint_clock(status.clock_ms);
     events_.record("endpoint_incarnation", {{"endpoint", status.id},
                                             {"born_ms", absl::StrCat(status.born_ms)},
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -39,6 +39,7 @@
     std::uint64_t process = 0;     ///< random number that identifies the process
     absl::Duration longest_lease;  ///< longest lease of a run; the endpoint shortens longer ones
     absl::Duration renewal_window; ///< renewal time after the latest answered query
+    absl::Duration heartbeat_interval = absl::Milliseconds(1500); ///< of the endpoint
 };
 
 /// Agent process of one endpoint: passes the dispatcher's orders on to the endpoint, renews the
@@ -80,6 +81,9 @@
 
 private:
     void begin_incarnation(const endpoint_status& status);
+    /// Why \p status, of another incarnation than the known one, does not take its place; nullptr
+    /// if it does.
+    [[nodiscard]] const char* rejection_reason(const endpoint_status& status) const;
     void handle_start_order(const schema::start_order& order, const std::string& payload);
     void send_start(tracked_run& it);
     void send_stop(const task_id& task, tracked_run& it);
@@ -118,7 +122,8 @@
     endpoint_status status_;
     bool known_ = false; ///< a heartbeat of the current incarnation was received
     bool left_ = false;
-    std::int64_t clock_ms_ = 0; ///< the endpoint's clock at local time clock_at_
+    absl::Time last_heartbeat_at_; ///< of the current incarnation
+    std::int64_t clock_ms_ = 0;    ///< the endpoint's clock at local time clock_at_
     absl::Time clock_at_;
 
     std::string dispatcher_;
--- a/tests/dispatch/endpoint_agent_test.cpp
+++ b/tests/dispatch/endpoint_agent_test.cpp
@@ -161,6 +161,57 @@
     EXPECT_TRUE(reports_.reports.back().draining());
 }
 
+// A heartbeat of another writer that names a service of its own took the endpoint's place.
+TEST_F(agent_calls, heartbeat_of_another_service_takes_no_endpoints_place)
+{
+    auto odd = status_;
+    odd.id = "i-2";
+    odd.born_ms = 2;
+    odd.service = "odd";
+    agent_.on_status(odd);
+    agent_.tick();
+    EXPECT_EQ(reports_.reports.back().endpoint(), "i-1");
+    // The endpoint sends no more heartbeats: its host has been given to another service.
+    pass(absl::Seconds(4));
+    agent_.on_status(odd);
+    agent_.tick();
+    EXPECT_EQ(reports_.reports.back().endpoint(), "i-2");
+}
+
+// A single heartbeat of another writer took the endpoint's place for good: the endpoint's own were
+// ignored as those of an earlier incarnation.
+TEST_F(agent_calls, endpoint_that_goes_on_sending_heartbeats_gets_its_place_back)
+{
+    auto odd = status_;
+    odd.id = "i-2";
+    odd.born_ms = 2;
+    agent_.on_status(odd);
+    for (int n = 0; n < 4; ++n)
+    {
+        pass(absl::Milliseconds(1500));
+        ++status_.sequence;
+        agent_.on_status(status_);
+    }
+    agent_.tick();
+    EXPECT_EQ(reports_.reports.back().endpoint(), "i-1");
+}
+
+TEST_F(agent_calls, late_heartbeat_of_an_earlier_incarnation_changes_nothing)
+{
+    auto next = status_;
+    next.id = "i-2";
+    next.born_ms = 2;
+    for (int n = 0; n < 4; ++n)
+    {
+        ++next.sequence;
+        agent_.on_status(next);
+        pass(absl::Milliseconds(1500));
+        ++status_.sequence;
+        agent_.on_status(status_);
+    }
+    EXPECT_EQ(reports_.reports.back().endpoint(), "i-2");
+}
+
 TEST_F(agent_calls, endpoint_that_starts_again_takes_its_own_place)
 {
     status_.born_ms = absl::ToUnixMillis(clock_.wall_now() + absl::Seconds(6));
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -362,7 +362,7 @@
     std::string text_ =
         R"({"nodeName":"e1","ip":"10.1.0.13","zone":"z","listenAddrs":{"frontend":"10.1.0.13:1"},
             "internalPorts":[7720,7735],"seeds":["10.1.0.13:8166","10.2.0.30:8166"],
-            "bootstrap":true,"dataDir":null,"faultTolerance":{"machines":2},"bounds":{"holdMaxMs":900},
+            "bootstrap":true,"dataDir":null,"heartbeatMs":1200,"faultTolerance":{"machines":2},"bounds":{"holdMaxMs":900},
             "later":{"unknown":1}})";
     std::string error_;
 };
@@ -375,6 +375,7 @@
     EXPECT_TRUE(read->data_folder.empty());
     EXPECT_EQ(read->tolerated_failures, 2U);
     EXPECT_EQ(read->longest_lease, absl::Milliseconds(900));
+    EXPECT_EQ(read->heartbeat_interval, absl::Milliseconds(1200));
 }
 
 // A port above 65,535 was cut to 16 bits, and a negative number of failures became a huge one.
