--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -91,7 +91,7 @@
     {
         return;
     }
-    last_heartbeat_at_ = clock_.now();
+    extend_place();
     const bool changed = status.draining != status_.draining ||
                          status.capacity != status_.capacity || status.service != status_.service;
     status_ = status;
@@ -120,7 +120,7 @@
     {
         return is_earlier;
     }
-    if (clock_.now() >= last_heartbeat_at_ + options_.heartbeat_interval * kept_heartbeat_intervals)
+    if (clock_.now() >= keeps_place_until_)
     {
         return nullptr;
     }
@@ -131,13 +131,18 @@
     return status.service == status_.service ? nullptr : "another service";
 }
 
+void endpoint_agent::extend_place()
+{
+    keeps_place_until_ = clock_.now() + options_.heartbeat_interval * kept_heartbeat_intervals;
+}
+
 void endpoint_agent::begin_incarnation(const endpoint_status& status)
 {
     const bool other = status.id != status_.id || status.born_ms != status_.born_ms;
     status_ = status;
     known_ = true;
     left_ = false;
-    last_heartbeat_at_ = clock_.now();
+    extend_place();
     set_endpoint_clock(status.clock_ms);
     events_.record("endpoint_incarnation", {{"endpoint", status.id},
                                             {"born_ms", absl::StrCat(status.born_ms)},
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -84,6 +84,7 @@
     /// Why \p status, of another incarnation than the known one, does not take its place; nullptr
     /// if it does.
     [[nodiscard]] const char* rejection_reason(const endpoint_status& status) const;
+    void extend_place();
     void handle_start_order(const schema::start_order& order, const std::string& payload);
     void send_start(tracked_run& it);
     void send_stop(const task_id& task, tracked_run& it);
@@ -122,7 +123,7 @@
     endpoint_status status_;
     bool known_ = false; ///< a heartbeat of the current incarnation was received
     bool left_ = false;
-    absl::Time last_heartbeat_at_; ///< of the current incarnation
+    absl::Time keeps_place_until_; ///< against heartbeats of other incarnations
     std::int64_t clock_ms_ = 0;    ///< the endpoint's clock at local time clock_at_
     absl::Time clock_at_;
 
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/messages.hpp"
 #include "platform/settings.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <array>
@@ -214,7 +215,7 @@
         std::string out;
         for (const auto& [key, text] : members)
         {
-            out += (out.empty() ? "{\"" : ",\"") + key + "\":" + text;
+            absl::StrAppend(&out, out.empty() ? "{\"" : ",\"", key, "\":", text);
         }
         return out + "}";
     }
