Soak: odd heartbeats of another writer

One at each step, to the agents in turn: a port out of range, a number too large, a list nested 100,000 deep. Each gets 400 or no answer, and the checks of the soak hold beside it.

--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -202,6 +202,27 @@
             watch_.violation("an unreadable configuration was answered " + std::to_string(status));
         }
     }
+    /// A heartbeat of another writer must be refused, and the agent's endpoint must keep its place.
+    void send_odd_heartbeat(int number)
+    {
+        const std::string nested(100'000, '[');
+        const std::string odd[] = {
+            R"("address":"10.0.0.1:99999","capacity":{"cpu":64000,"memMb":1},"labels":[])",
+            R"("address":"10.0.0.1:80","capacity":{"cpu":1e300,"memMb":1},"labels":[])",
+            R"("address":"10.0.0.1:80","capacity":{"cpu":64000,"memMb":1},"labels":)" + nested};
+        httplib::Client to(ip_of(20 + number % agents), control_port);
+        to.set_read_timeout(1, 0);
+        to.set_connection_timeout(0, 300'000);
+        const auto reply = to.Post(
+            "/savoryreach/instances/i-odd/heartbeat",
+            R"({"service":"s1","zone":"z1","state":"ready","seq":1,"clockMs":1,"born":1000000,)" +
+                odd[static_cast<std::size_t>(number) % std::size(odd)] + "}",
+            "application/json");
+        if (reply && reply->status != 400)
+        {
+            watch_.violation("an odd heartbeat was answered " + std::to_string(reply->status));
+        }
+    }
     /// The version in force by the first front that says one; 0 when none does.
     [[nodiscard]] std::int64_t version_in_force() const
     {
@@ -391,6 +412,7 @@
         harm();
         repair(clock::now());
         const auto front = static_cast<int>(random_() % fronts);
+        send_odd_heartbeat(static_cast<int>(version));
         if (version % 4 == 0)
         {
             send_unreadable_configuration(front, version + 1);
