Stop the demo cluster's keepers last

./demo.sh printed its answer, then waited 30 s and ended with 1, on untouched code, too: all processes were told to stop at once, the keepers ended first, and the agents, which leave the membership through them, gave up at their drain deadline (drain_finished complete=false). A script that waits for them under `set -e` ends with their exit code.

With the keepers stopped after all others each drain is complete; the demo's part after the build takes 5.5 s and ends with 0, twice.

--- a/examples/cluster.sh
+++ b/examples/cluster.sh
@@ -28,8 +28,14 @@
     return 1
 }
 
+# Entries and agents leave the membership through the keepers, which therefore end last.
 stop_cluster() {
-    for ((n = ${#pids[@]} - 1; n >= 0; --n)); do kill "${pids[n]}" 2>/dev/null; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+    stop_processes "${pids[@]:3}"
+    stop_processes "${pids[@]:0:3}"
     pids=()
 }
+
+stop_processes() {
+    for pid in "$@"; do kill "$pid" 2>/dev/null; done
+    for pid in "$@"; do wait "$pid" 2>/dev/null; done
+}
