--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -458,9 +458,8 @@
 //    1.75 s, until the leases of that host could have ended by its own clock. Open, see
 //    KNOWN-RED.txt.
 // 9: the fault loop waited for a draining front while a proxy stayed silent; the soak's own fault.
-// 9105, 9148: fronts and agents were away; nothing was placed without a majority, and then for 1.75
-// s,
-//    as in 3. Open, see KNOWN-RED.txt.
+// 9105, 9148: fronts and agents were away; nothing was placed without a majority, and then while
+//    the dispatcher waited for absent hosts, as in 3. Open, see KNOWN-RED.txt.
 INSTANTIATE_TEST_SUITE_P(regressions, fleet_soak, ::testing::Values(3, 9, 9105, 9148), seed_name);
 
 } // namespace
