Start after a power loss that brings superseded segments back

A loss of power keeps or loses each removal by itself; an older segment may be back while a newer one is gone, and recovery took the gap for damage: start_failed "segment is missing", at each start.

Ruled out: a sync after each removal (a sync a segment on the writer's thread; the files are superseded all the same); one sync after all removals (they are lost or kept one by one until then).

--- a/savoryreach/storage/log_recovery.hpp
+++ b/savoryreach/storage/log_recovery.hpp
@@ -22,9 +22,10 @@
     friend bool operator==(const log_segment&, const log_segment&) = default;
 };
 
-/// Reads the data folder of a keeper at start: the newest snapshot, then all segments in order.
-/// Removes temporary files, superseded snapshots and a torn tail (an incomplete last write); makes
-/// no other change.
+/// Reads the data folder of a keeper at start: the newest snapshot, then the segments that continue
+/// it, in order. Removes temporary files, superseded snapshots and segments, and a torn tail (an
+/// incomplete last write); makes no other change. A loss of power may bring any of the superseded
+/// files back, so that their numbers can have gaps.
 class log_recovery
 {
 public:
@@ -49,9 +50,22 @@
 private:
     [[nodiscard]] bool list_files();
     [[nodiscard]] bool load_snapshot();
-    [[nodiscard]] bool load_segment(std::uint64_t sequence, bool is_newest);
+    /// Records of one segment file.
+    struct segment_content
+    {
+        std::uint64_t sequence = 0;
+        std::vector<record> records;
+    };
+
+    [[nodiscard]] bool read_segments();
+    [[nodiscard]] bool read_segment(bool is_newest, segment_content& segment);
+    [[nodiscard]] bool starts_within_snapshot(const segment_content& segment) const;
+    [[nodiscard]] bool remove_superseded_segments();
+    [[nodiscard]] bool apply_segment(const segment_content& segment);
     [[nodiscard]] bool truncate_tail(const std::string& path, std::uint64_t size,
                                      std::uint64_t valid);
+    [[nodiscard]] std::string path_of(std::uint64_t sequence) const;
+    [[nodiscard]] std::uint64_t covered_index() const;
     [[nodiscard]] bool apply(const record& item, bool is_first);
     [[nodiscard]] bool apply_base(const record& item);
     [[nodiscard]] bool apply_entry(const record& item);
@@ -63,9 +77,11 @@
     content content_;                      ///< Filled while reading.
     std::vector<std::uint64_t> sequences_; ///< Sequence numbers of the segment files, ascending.
     std::vector<std::uint64_t> snapshots_; ///< Last indexes of the snapshot files, ascending.
-    std::uint64_t base_index_ = 0;         ///< Snapshot index of the last base record.
-    std::uint64_t next_index_ = 0;         ///< Index that the next entry must have; 0: any.
-    std::string last_reason_;              ///< Why run failed.
+    std::vector<segment_content>
+        loaded_;                   ///< The segments that continue the snapshot, newest first.
+    std::uint64_t base_index_ = 0; ///< Snapshot index of the last base record.
+    std::uint64_t next_index_ = 0; ///< Index that the next entry must have; 0: any.
+    std::string last_reason_;      ///< Why run failed.
 };
 
 } // namespace savoryreach::storage
--- a/savoryreach/storage/segment_writer.cpp
+++ b/savoryreach/storage/segment_writer.cpp
@@ -141,7 +141,8 @@
 
 bool segment_writer::remove_covered_segments()
 {
-    // Oldest first, so that a crash during the removal leaves consecutively numbered segments.
+    // Not synced: a removed segment that a loss of power brings back is superseded, and recovery
+    // removes it again.
     while (segments_.size() > 1 && segments_.front().last_index <= base_index_)
     {
         if (!disk_.remove(path_of(segments_.front().sequence)))
--- a/tests/storage/file_log_storage_test.cpp
+++ b/tests/storage/file_log_storage_test.cpp
@@ -1,4 +1,5 @@
 #include "savoryreach/base/seeded_random.hpp"
+#include "savoryreach/storage/numbered_name.hpp"
 #include "savoryreach/storage/posix_disk.hpp"
 #include "storage_fixture.hpp"
 
@@ -210,6 +211,66 @@
     }
 }
 
+// A member did not start after a loss of power that brought some of the segments back that a
+// snapshot had made superfluous: the gap between them was taken for damage.
+TEST_F(file_log_storage_test, loss_of_power_after_snapshot_with_any_removed_segment_back_opens)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        base::seeded_random random(seed);
+        disk = memory_disk();
+        std::uint64_t last = 0;
+        for (int round = 0; round < 4; ++round)
+        {
+            // Each write begins a segment.
+            ASSERT_TRUE(open(1)) << reason;
+            ASSERT_EQ(state.entries.empty() ? last : state.entries.back().index(), last);
+            const std::uint64_t count = 3 + random.below(5);
+            for (std::uint64_t n = 0; n < count; ++n)
+            {
+                ++last;
+                storage->append(entries(last, last));
+            }
+            const std::uint64_t covered = last - random.below(3);
+            storage->save_snapshot(snapshot(covered));
+            close();
+            ASSERT_EQ(persisted.size(), count + 1);
+            disk.lose_power(random);
+            ASSERT_TRUE(open(1)) << reason;
+            ASSERT_TRUE(state.snapshot);
+            EXPECT_EQ(state.snapshot->last_index(), covered);
+            EXPECT_EQ(state.entries.size(), last - covered);
+            close();
+        }
+    }
+}
+
+// Guards against accepting a log from which a segment that is still needed is missing.
+TEST_F(file_log_storage_test, missing_segment_with_entries_after_snapshot_is_refused)
+{
+    for (std::uint64_t i = 1; i <= 6; ++i)
+    {
+        ASSERT_TRUE(open());
+        storage->append(entries(i, i));
+    }
+    storage->save_snapshot(snapshot(2));
+    close();
+    const auto whole = disk.files();
+    ASSERT_EQ(whole.size(), 6U) << "segments 3 to 7 and the snapshot";
+    for (std::uint64_t sequence = 3; sequence <= 6; ++sequence)
+    {
+        disk.files() = whole;
+        const auto name = "data/" + numbered_name(log_recovery::segment_prefix, sequence);
+        ASSERT_EQ(disk.files().erase(name), 1U);
+        EXPECT_FALSE(open()) << name;
+        EXPECT_THAT(reason, HasSubstr("missing"));
+    }
+    disk.files() = whole;
+    ASSERT_TRUE(open()) << reason;
+    EXPECT_EQ(loaded(), "3/1 4/1 5/1 6/1 ");
+}
+
 // Guards against crashes on damaged files and against accepting altered records.
 TEST_F(file_log_storage_test, seeded_mutations_never_give_altered_records)
 {
