Sync what recovery has read before it counts as durable

Cause: records that a killed process had written and not synced were read back, acknowledged, and followed by a new segment, while only the new one was synced. The next power loss took them from below it.

The new test fails on the code before this commit (seed 11: "base record expects entry 4, log continues with 1").

Change: recovery syncs the newest segment and the folder before it removes anything and before the next segment is begun. Older segments are durable, since none is begun before the one below it is. The same for the identity of a core member.

Ruled out: truncating a segment to what a marker says was synced (a second sync at each flush).

Cost: two syncs at each start.

--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -54,6 +54,12 @@
             error = path + ": unreadable";
             return std::nullopt;
         }
+        // The process that wrote it may have been killed before it synced the name.
+        if (!disk.sync_folder(options.folder))
+        {
+            error = disk.last_reason();
+            return std::nullopt;
+        }
         return core_identity{record.agents(0).name(), record.keepers()};
     }
     const bool is_founder =
--- a/savoryreach/storage/disk.hpp
+++ b/savoryreach/storage/disk.hpp
@@ -39,6 +39,9 @@
     /// Truncates a file to \p size bytes and makes the change durable.
     [[nodiscard]] virtual bool truncate(const std::string& path, std::uint64_t size) = 0;
 
+    /// Makes the content of a file durable, whichever process wrote it.
+    [[nodiscard]] virtual bool sync(const std::string& path) = 0;
+
     /// Renames a file, replacing an existing file with the new name.
     [[nodiscard]] virtual bool rename(const std::string& from, const std::string& to) = 0;
 
--- a/savoryreach/storage/log_recovery.cpp
+++ b/savoryreach/storage/log_recovery.cpp
@@ -24,7 +24,8 @@
 
 std::optional<log_recovery::content> log_recovery::run()
 {
-    if (!list_files() || !load_snapshot() || !read_segments() || !remove_superseded_segments())
+    if (!list_files() || !load_snapshot() || !read_segments() || !sync_files() ||
+        !remove_superseded_files())
     {
         return std::nullopt;
     }
@@ -93,13 +94,6 @@
     {
         return fail(files.last_reason());
     }
-    for (const std::uint64_t index : snapshots_)
-    {
-        if (index != snapshots_.back() && !files.remove(index))
-        {
-            return fail(files.last_reason());
-        }
-    }
     return true;
 }
 
@@ -161,8 +155,24 @@
     return base.type == record_type::base && base.term <= covered_index() + 1;
 }
 
-bool log_recovery::remove_superseded_segments()
+/// The end of a process keeps what it had written, synced or not. Nothing that was read may count
+/// as durable, or be followed by later segments, before it is.
+bool log_recovery::sync_files()
+{
+    const bool synced = loaded_.empty() || disk_.sync(path_of(loaded_.front().sequence));
+    return (synced && disk_.sync_folder(folder_)) || fail(disk_.last_reason());
+}
+
+bool log_recovery::remove_superseded_files()
 {
+    snapshot_file files(disk_, folder_);
+    for (const std::uint64_t index : snapshots_)
+    {
+        if (index != snapshots_.back() && !files.remove(index))
+        {
+            return fail(files.last_reason());
+        }
+    }
     for (const std::uint64_t sequence : sequences_)
     {
         if (loaded_.empty() || sequence >= loaded_.back().sequence)
--- a/savoryreach/storage/log_recovery.hpp
+++ b/savoryreach/storage/log_recovery.hpp
@@ -24,8 +24,8 @@
 
 /// Reads the data folder of a keeper at start: the newest snapshot, then the segments that continue
 /// it, in order. Removes temporary files, superseded snapshots and segments, and a torn tail (an
-/// incomplete last write); makes no other change. A loss of power may bring any of the superseded
-/// files back, so that their numbers can have gaps.
+/// incomplete last write), and syncs what it has read; makes no other change. A loss of power may
+/// bring any of the superseded files back, so that their numbers can have gaps.
 class log_recovery
 {
 public:
@@ -60,7 +60,8 @@
     [[nodiscard]] bool read_segments();
     [[nodiscard]] bool read_segment(bool is_newest, segment_content& segment);
     [[nodiscard]] bool starts_within_snapshot(const segment_content& segment) const;
-    [[nodiscard]] bool remove_superseded_segments();
+    [[nodiscard]] bool sync_files();
+    [[nodiscard]] bool remove_superseded_files();
     [[nodiscard]] bool apply_segment(const segment_content& segment);
     [[nodiscard]] bool truncate_tail(const std::string& path, std::uint64_t size,
                                      std::uint64_t valid);
--- a/savoryreach/storage/posix_disk.cpp
+++ b/savoryreach/storage/posix_disk.cpp
@@ -157,6 +157,16 @@
     return ::fsync(file->descriptor()) == 0 || fail("fsync", path);
 }
 
+bool posix_disk::sync(const std::string& path)
+{
+    const auto file = open_file(path, O_WRONLY);
+    if (!file)
+    {
+        return fail("open", path);
+    }
+    return ::fsync(file->descriptor()) == 0 || fail("fsync", path);
+}
+
 bool posix_disk::rename(const std::string& from, const std::string& to)
 {
     return ::rename(from.c_str(), to.c_str()) == 0 || fail("rename", from);
--- a/savoryreach/storage/posix_disk.hpp
+++ b/savoryreach/storage/posix_disk.hpp
@@ -16,6 +16,7 @@
     std::unique_ptr<disk_file> lock(const std::string& path) override;
     std::optional<std::string> read(const std::string& path) override;
     bool truncate(const std::string& path, std::uint64_t size) override;
+    bool sync(const std::string& path) override;
     bool rename(const std::string& from, const std::string& to) override;
     bool remove(const std::string& path) override;
     bool sync_folder(const std::string& folder) override;
--- a/tests/storage/file_log_storage_test.cpp
+++ b/tests/storage/file_log_storage_test.cpp
@@ -22,6 +22,10 @@
     {
         log_recovery recovery(disk, "data");
         const auto found = recovery.run();
+        if (!found)
+        {
+            return 0;
+        }
         segment_writer writer(disk, "data", 1, *found);
         const auto append = [&](std::uint64_t first, std::uint64_t last, std::uint64_t term)
         {
@@ -246,6 +250,43 @@
     }
 }
 
+// Records that a killed process had written and not synced were read back and counted as stored;
+// the next loss of power took them from below a later segment, and the member did not start again.
+TEST_F(file_log_storage_test, records_read_after_a_kill_survive_the_next_loss_of_power)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed)
+    {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        base::seeded_random random(seed);
+        disk = memory_disk();
+        std::uint64_t last = 0;
+        for (int round = 0; round < 6; ++round)
+        {
+            ASSERT_TRUE(open(200)) << reason;
+            const std::uint64_t read = !state.entries.empty()
+                                           ? state.entries.back().index()
+                                           : (state.snapshot ? state.snapshot->last_index() : 0);
+            ASSERT_GE(read, last);
+            last = read;
+            // The process is killed at one of the operations that follow.
+            disk.fail_from(disk.changes() + 1 + random.below(12));
+            for (std::uint64_t n = 1; n <= 3; ++n)
+            {
+                storage->append(entries(read + n, read + n));
+            }
+            storage->save_snapshot(snapshot(read + 1));
+            storage->append(entries(read + 4, read + 4));
+            close();
+            last += std::min<std::size_t>(persisted.size(), 3) + (persisted.size() == 5 ? 1 : 0);
+            if (random.below(2) == 0)
+            {
+                disk.lose_power(random);
+            }
+            disk.recover();
+        }
+    }
+}
+
 // Guards against accepting a log from which a segment that is still needed is missing.
 TEST_F(file_log_storage_test, missing_segment_with_entries_after_snapshot_is_refused)
 {
--- a/tests/storage/memory_disk.hpp
+++ b/tests/storage/memory_disk.hpp
@@ -126,6 +126,8 @@
         return true;
     }
 
+    bool sync(const std::string& path) override { return sync_content(*current_.at(path)); }
+
     bool rename(const std::string& from, const std::string& to) override
     {
         if (!change())
@@ -141,7 +143,7 @@
 
     bool sync_folder(const std::string&) override
     {
-        if (!sync())
+        if (!count_sync())
         {
             return false;
         }
@@ -170,16 +172,7 @@
             return true;
         }
 
-        bool sync() override
-        {
-            if (!disk_.sync())
-            {
-                return false;
-            }
-            node_->durable = node_->content;
-            node_->unsynced.clear();
-            return true;
-        }
+        bool sync() override { return disk_.sync_content(*node_); }
 
         [[nodiscard]] const std::string& last_reason() const override { return disk_.reason_; }
 
@@ -211,12 +204,23 @@
 
     bool change() { return ++changes_ < fail_from_ || fail_from_ == 0; }
 
-    bool sync()
+    bool count_sync()
     {
         ++syncs_;
         return change() && !fail_syncs_;
     }
 
+    bool sync_content(inode& node)
+    {
+        if (!count_sync())
+        {
+            return false;
+        }
+        node.durable = node.content;
+        node.unsynced.clear();
+        return true;
+    }
+
     names current_;                           ///< Names visible to programs.
     names durable_;                           ///< Names after a loss of power.
     std::size_t changes_ = 0;                 ///< Changing operations so far.
