Open the log again after a refused write, so that the member counts again

Cause: after one failed write the log's writer drops all later ones, and replicated_log never votes, leads or acknowledges again in that process. Nothing opens the log again and the process doesn't end.

Change: the writer's thread cuts off what was written and never synced, reads the folder as at a start and reports the content; the member continues from it with a new replicated_log, as after a restart. One log line at each end, two metrics. The same for savoryreach-keeper.

Why it works: whatever was acknowledged was synced, and is what recovery reads; unsynced records can't be read back, since they are cut off first. Ruled out: ending the process (cuts the requests that it holds), reopening on the event loop (a hanging disk would hold up requests).

--- a/performance_test/capacity/claim_probe.cpp
+++ b/performance_test/capacity/claim_probe.cpp
@@ -201,7 +201,7 @@
     // No snapshot falls into the run; its cost is measured by the ledger probe.
     settings.set_snapshot_every(10'000'000);
     it->core = std::make_unique<keeper::keeper_core>(
-        settings, std::move(opened->state),
+        settings, std::move(opened->content.state),
         keeper::keeper_ports{clock_, random_, *it->transport, *it->storage, events_});
     keepers_.push_back(std::move(it));
 }
--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -96,68 +96,114 @@
     return out;
 }
 
-core_member::core_member(const core_options& options, const core_identity& identity,
-                         net::link_hub& hub, const base::clock& clock, observe::event_sink& events)
-    : name_(identity.name), hub_(hub), clock_(clock), events_(events),
-      planner_(options.wanted_voters), random_(random_u64())
+core_member::core_member(std::unique_ptr<storage::disk> disk, const core_options& options,
+                         core_identity identity, net::link_hub& hub, const base::clock& clock,
+                         observe::event_sink& events)
+    : identity_(std::move(identity)), hub_(hub), clock_(clock), events_(events),
+      planner_(options.wanted_voters), random_(random_u64()), disk_(std::move(disk))
 {
 }
 
 std::unique_ptr<core_member>
-core_member::open(boost::asio::io_context& io, const core_options& options,
-                  const core_identity& identity, net::link_hub& hub, const base::clock& clock,
-                  observe::event_sink& events, const std::function<void()>& on_change,
-                  std::string& error)
-{
-    std::unique_ptr<core_member> out(new core_member(options, identity, hub, clock, events));
-    const std::weak_ptr<bool> alive = out->alive_;
-    auto* self = out.get();
-    auto opened = storage::file_log_storage::open(
-        out->disk_, options.folder + "/log",
-        {.persisted =
-             [&io, alive, self, on_change](std::uint64_t ticket)
-         {
-             boost::asio::post(io,
-                               [alive, self, on_change, ticket]
-                               {
-                                   if (alive.lock())
-                                   {
-                                       self->log_->persisted(ticket);
-                                       on_change();
-                                   }
-                               });
-         },
-         .failed =
-             [&io, alive, self, on_change](const std::string& reason)
-         {
-             boost::asio::post(io,
-                               [alive, self, on_change, reason]
-                               {
-                                   if (alive.lock())
-                                   {
-                                       self->events_.record("storage_failed", {{"reason", reason}});
-                                       self->log_->storage_failed();
-                                       on_change();
-                                   }
-                               });
-         }},
-        {.segment_bytes = segment_bytes}, error);
+core_member::open(boost::asio::io_context& io, std::unique_ptr<storage::disk> disk,
+                  const core_options& options, const core_identity& identity, net::link_hub& hub,
+                  const base::clock& clock, observe::event_sink& events,
+                  const std::function<void()>& on_change, std::string& error)
+{
+    std::unique_ptr<core_member> out(
+        new core_member(std::move(disk), options, identity, hub, clock, events));
+    auto opened = storage::file_log_storage::open(*out->disk_, options.folder + "/log",
+                                                  out->storage_callbacks(io, on_change),
+                                                  {.segment_bytes = segment_bytes}, error);
     if (!opened)
     {
         return nullptr;
     }
-    for (const auto& it : opened->repairs)
-    {
-        events.record("storage_repaired", {{"detail", it}});
-    }
     out->storage_ = std::move(opened->storage);
     out->ports_.emplace(keeper::keeper_ports{clock, out->random_, hub, *out->storage_, events});
-    out->log_ = std::make_unique<keeper::replicated_log>(
-        keeper::log_options{identity.name, identity.founders, snapshot_every}, opened->state,
-        *out->ports_, out->store_);
+    out->load_log(opened->content);
     return out;
 }
 
+storage::file_log_storage::callbacks
+core_member::storage_callbacks(boost::asio::io_context& io, const std::function<void()>& on_change)
+{
+    const std::weak_ptr<bool> alive = alive_;
+    // Runs \p handler on the event loop if this object is still there.
+    const auto post = [&io, alive, on_change](auto handler)
+    {
+        boost::asio::post(io,
+                          [alive, on_change, handler = std::move(handler)]
+                          {
+                              if (alive.lock())
+                              {
+                                  handler();
+                                  on_change();
+                              }
+                          });
+    };
+    using recovered_content = storage::file_log_storage::recovered_content;
+    return {.persisted = [this, post](std::uint64_t ticket)
+            { post([this, ticket] { log_->persisted(ticket); }); },
+            .failed = [this, post](std::string reason)
+            { post([this, reason = std::move(reason)] { on_storage_failed(reason); }); },
+            .reopened =
+                [this, post](recovered_content content)
+            {
+                post([this, content = std::move(content)] { on_storage_reopened(content); });
+            }};
+}
+
+void core_member::load_log(const storage::file_log_storage::recovered_content& content)
+{
+    for (const auto& it : content.repairs)
+    {
+        events_.record("storage_repaired", {{"detail", it}});
+    }
+    store_ = {};
+    log_ = std::make_unique<keeper::replicated_log>(
+        keeper::log_options{identity_.name, identity_.founders, snapshot_every}, content.state,
+        *ports_, store_);
+}
+
+void core_member::on_storage_failed(const std::string& reason)
+{
+    if (!reopen_schedule_.failed_since())
+    {
+        ++storage_failures_;
+        log_->storage_failed();
+    }
+    if (reason != last_failure_)
+    {
+        events_.record("storage_failed", {{"reason", reason}});
+        last_failure_ = reason;
+    }
+    reopen_schedule_.on_failure(clock_.now());
+}
+
+void core_member::on_storage_reopened(const storage::file_log_storage::recovered_content& content)
+{
+    load_log(content);
+    if (retired_)
+    {
+        log_->transfer_leadership();
+    }
+    events_.record(
+        "storage_reopened",
+        {{"after_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                          clock_.now() - reopen_schedule_.failed_since().value_or(clock_.now())))},
+         {"attempts", absl::StrCat(reopen_schedule_.attempts())},
+         {"last_index", absl::StrCat(log_->last_index())}});
+    reopen_schedule_.on_reopened();
+    last_failure_.clear();
+}
+
+void core_member::retire()
+{
+    retired_ = true;
+    log_->transfer_leadership();
+}
+
 void core_member::receive(const net::link_peer& from, const schema::envelope& message)
 {
     log_->receive(base::node_name(from.name), message);
@@ -173,6 +219,10 @@
 
 void core_member::tick()
 {
+    if (reopen_schedule_.begin_attempt(clock_.now()))
+    {
+        storage_->reopen();
+    }
     log_->tick();
     if (!log_->can_serve())
     {
@@ -191,7 +241,7 @@
 void core_member::update_membership()
 {
     const auto change =
-        planner_.next({name_, log_->members().current(),
+        planner_.next({identity_.name, log_->members().current(),
                        [this](const std::string& name) { return log_->last_contact(name); },
                        hub_.peers(), leading_since_},
                       clock_.now());
--- a/savoryreach/daemon/core_member.hpp
+++ b/savoryreach/daemon/core_member.hpp
@@ -7,8 +7,9 @@
 #include "savoryreach/dispatch/fleet_store.hpp"
 #include "savoryreach/keeper/replicated_log.hpp"
 #include "savoryreach/net/link_hub.hpp"
+#include "savoryreach/storage/disk.hpp"
 #include "savoryreach/storage/file_log_storage.hpp"
-#include "savoryreach/storage/posix_disk.hpp"
+#include "savoryreach/storage/reopen_schedule.hpp"
 
 #include <boost/asio.hpp>
 
@@ -46,22 +47,26 @@
 load_identity(storage::disk& disk, const core_options& options, std::string& error);
 
 /// A member of the core: its log on disk, the state machine that the log is applied to, and, on the
-/// leader, the changes of the membership.
+/// leader, the changes of the membership. When its disk refuses a write, the member stops voting,
+/// leading and acknowledging, opens the log again as a new process would, and then counts again;
+/// the process goes on serving requests meanwhile.
 class core_member
 {
 public:
-    /// Opens the log in the folder. On failure returns null and sets \p error. \p on_change is
-    /// called when a write to disk has completed or failed.
+    /// Opens the log in the folder on \p disk. On failure returns null and sets \p error. \p
+    /// on_change is called when a write to disk has completed or failed, and when the log is open
+    /// again.
     [[nodiscard]] static std::unique_ptr<core_member>
-    open(boost::asio::io_context& io, const core_options& options, const core_identity& identity,
-         net::link_hub& hub, const base::clock& clock, observe::event_sink& events,
+    open(boost::asio::io_context& io, std::unique_ptr<storage::disk> disk,
+         const core_options& options, const core_identity& identity, net::link_hub& hub,
+         const base::clock& clock, observe::event_sink& events,
          const std::function<void()>& on_change, std::string& error);
 
     void receive(const net::link_peer& from, const schema::envelope& message);
     void tick();
     std::optional<std::uint64_t> propose(schema::command command);
     /// Gives up leadership and does not lead again; for a planned shutdown.
-    void retire() { log_->transfer_leadership(); }
+    void retire();
 
     [[nodiscard]] bool can_serve() const { return log_->can_serve(); }
     [[nodiscard]] bool is_leader() const { return log_->is_leader() && !log_->is_failed(); }
@@ -69,24 +74,41 @@
     [[nodiscard]] std::uint64_t applied_index() const { return log_->applied_index(); }
     [[nodiscard]] const dispatch::fleet_store& store() const { return store_; }
     [[nodiscard]] const schema::keeper_set& members() const { return log_->members().current(); }
+    /// Since when the disk refuses writes; nullopt while the log is open.
+    [[nodiscard]] std::optional<absl::Time> failed_since() const
+    {
+        return reopen_schedule_.failed_since();
+    }
+    /// Times that the disk has refused a write to the open log.
+    [[nodiscard]] std::uint64_t storage_failures() const { return storage_failures_; }
 
 private:
-    core_member(const core_options& options, const core_identity& identity, net::link_hub& hub,
-                const base::clock& clock, observe::event_sink& events);
+    core_member(std::unique_ptr<storage::disk> disk, const core_options& options,
+                core_identity identity, net::link_hub& hub, const base::clock& clock,
+                observe::event_sink& events);
 
+    [[nodiscard]] storage::file_log_storage::callbacks
+    storage_callbacks(boost::asio::io_context& io, const std::function<void()>& on_change);
+    void load_log(const storage::file_log_storage::recovered_content& content);
+    void on_storage_failed(const std::string& reason);
+    void on_storage_reopened(const storage::file_log_storage::recovered_content& content);
     void update_membership();
 
-    std::string name_;
+    core_identity identity_;
     net::link_hub& hub_;
     const base::clock& clock_;
     observe::event_sink& events_;
     dispatch::core_planner planner_;
     base::seeded_random random_;
     dispatch::fleet_store store_;
-    storage::posix_disk disk_;
+    std::unique_ptr<storage::disk> disk_; ///< used by the thread of storage_
     std::unique_ptr<storage::file_log_storage> storage_;
     std::optional<keeper::keeper_ports> ports_;
-    std::unique_ptr<keeper::replicated_log> log_;
+    std::unique_ptr<keeper::replicated_log> log_; ///< replaced when the storage is open again
+    storage::reopen_schedule reopen_schedule_;
+    std::string last_failure_; ///< reason of the last failure; repeats are not logged
+    std::uint64_t storage_failures_ = 0;
+    bool retired_ = false;
     absl::Time leading_since_ = absl::InfiniteFuture();
     absl::Time next_membership_update_ = absl::InfinitePast();
     std::string last_change_; ///< last attempted change; failed repeats are not logged
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -1,6 +1,7 @@
 #include "savoryreach/daemon/fleet_node.hpp"
 
 #include "savoryreach/daemon/logger.hpp"
+#include "savoryreach/storage/posix_disk.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -75,7 +76,8 @@
     if (identity_)
     {
         member_ = core_member::open(
-            io_, core, *identity_, *hub_, clock_, events_, [this] { schedule_tick(); }, error);
+            io_, std::make_unique<storage::posix_disk>(), core, *identity_, *hub_, clock_, events_,
+            [this] { schedule_tick(); }, error);
         if (!member_)
         {
             return error;
@@ -330,6 +332,15 @@
     gauge("savoryreach_jobs", "jobs accepted and not ended", static_cast<double>(counts.jobs));
     gauge("savoryreach_endpoints", "hosts that may run tasks",
           static_cast<double>(counts.endpoints));
+    if (member_)
+    {
+        const auto failed_since = member_->failed_since();
+        gauge("savoryreach_storage_failed_seconds",
+              "time for which the disk has refused writes and this member has not counted",
+              failed_since ? absl::ToDoubleSeconds(clock_.now() - *failed_since) : 0.0);
+        counter("savoryreach_storage_failures_total", "times that the disk refused a write",
+                member_->storage_failures());
+    }
     counter("savoryreach_jobs_accepted_total", "jobs accepted", counts.accepted);
     counter("savoryreach_jobs_refused_total", "jobs refused, not run", counts.refused);
     counter("savoryreach_jobs_completed_total", "jobs whose tasks all ended done",
--- a/savoryreach/keeper/keeper_core.cpp
+++ b/savoryreach/keeper/keeper_core.cpp
@@ -14,7 +14,8 @@
 
 keeper_core::keeper_core(const schema::keeper_settings& settings, stored_state stored,
                          keeper_ports ports)
-    : state_(new state{keeper_service(settings, std::move(stored), ports)})
+    : settings_(settings), ports_(ports),
+      state_(new state{keeper_service(settings_, std::move(stored), ports_)})
 {
 }
 
@@ -40,8 +41,18 @@
     state_->service.storage_failed(reason);
 }
 
+void keeper_core::storage_reopened(stored_state stored)
+{
+    state_.reset(new state{keeper_service(settings_, std::move(stored), ports_)});
+    if (draining_)
+    {
+        state_->service.begin_drain();
+    }
+}
+
 void keeper_core::begin_drain()
 {
+    draining_ = true;
     state_->service.begin_drain();
 }
 
--- a/savoryreach/keeper/keeper_core.hpp
+++ b/savoryreach/keeper/keeper_core.hpp
@@ -57,8 +57,11 @@
     void tick();
     /// Called when all storage writes up to and including \p ticket are durable.
     void persisted(std::uint64_t ticket);
-    /// Called when a storage write failed: the keeper permanently stops voting and acknowledging.
+    /// Called when a storage write failed: the keeper stops voting, leading and acknowledging.
     void storage_failed(const std::string& reason);
+    /// Called when the failed storage is open again and holds \p stored: the keeper continues as
+    /// after a restart.
+    void storage_reopened(stored_state stored);
 
     /// Transfers leadership and rejects further requests.
     void begin_drain();
@@ -71,7 +74,10 @@
 
 private:
     struct state;
+    schema::keeper_settings settings_;
+    keeper_ports ports_;
     std::unique_ptr<state> state_; ///< replicated log, ledger and leases
+    bool draining_ = false;
 };
 
 } // namespace savoryreach::keeper
--- a/savoryreach/keeper/log_storage.hpp
+++ b/savoryreach/keeper/log_storage.hpp
@@ -22,7 +22,7 @@
 /// Durable state of one keeper. Writes are queued in order and become durable together (group
 /// commit). Each write has a ticket, a rising number; keeper_core::persisted(ticket) reports that
 /// all writes up to it are durable. Called from the control thread only; never blocks. After a
-/// failed write, no later write becomes durable.
+/// failed write, no later write becomes durable until the storage is opened again.
 class log_storage
 {
 public:
--- a/savoryreach/keeper/replicated_log.hpp
+++ b/savoryreach/keeper/replicated_log.hpp
@@ -45,7 +45,8 @@
     bool receive(const base::node_name& from, const schema::envelope& message);
     void tick();
     void persisted(std::uint64_t ticket);
-    /// Permanently stops voting, leading and acknowledging.
+    /// Permanently stops voting, leading and acknowledging; a member returns with a new object over
+    /// what its storage holds when it is open again.
     void storage_failed();
 
     /// Appends \p command and returns its index; nullopt when this keeper is not the leader. The
--- a/savoryreach/storage/file_log_storage.cpp
+++ b/savoryreach/storage/file_log_storage.cpp
@@ -21,6 +21,23 @@
                  " can't be used (another process may hold it): " + disk.last_reason();
         return std::nullopt;
     }
+    std::unique_ptr<segment_writer> writer;
+    auto content = load(disk, folder, storage_options, writer, reason);
+    if (!content)
+    {
+        return std::nullopt;
+    }
+    open_result result;
+    result.content = std::move(*content);
+    result.storage.reset(new file_log_storage(disk, folder, storage_options, std::move(lock),
+                                              std::move(writer), std::move(handlers)));
+    return result;
+}
+
+std::optional<file_log_storage::recovered_content>
+file_log_storage::load(disk& disk, const std::string& folder, const options& storage_options,
+                       std::unique_ptr<segment_writer>& writer, std::string& reason)
+{
     log_recovery recovery(disk, folder);
     auto recovered = recovery.run();
     if (!recovered)
@@ -28,24 +45,22 @@
         reason = recovery.last_reason();
         return std::nullopt;
     }
-    auto writer =
+    auto started =
         std::make_unique<segment_writer>(disk, folder, storage_options.segment_bytes, *recovered);
-    if (!writer->start())
+    if (!started->start())
     {
-        reason = writer->last_reason();
+        reason = started->last_reason();
         return std::nullopt;
     }
-    open_result result;
-    result.state = std::move(recovered->state);
-    result.repairs = std::move(recovered->repairs);
-    result.storage.reset(
-        new file_log_storage(std::move(lock), std::move(writer), std::move(handlers)));
-    return result;
+    writer = std::move(started);
+    return recovered_content{std::move(recovered->state), std::move(recovered->repairs)};
 }
 
-file_log_storage::file_log_storage(std::unique_ptr<disk_file> lock,
+file_log_storage::file_log_storage(disk& disk, std::string folder, const options& storage_options,
+                                   std::unique_ptr<disk_file> lock,
                                    std::unique_ptr<segment_writer> writer, callbacks handlers)
-    : lock_(std::move(lock)), writer_(std::move(writer)), callbacks_(std::move(handlers))
+    : disk_(disk), folder_(std::move(folder)), options_(storage_options), lock_(std::move(lock)),
+      writer_(std::move(writer)), callbacks_(std::move(handlers))
 {
     [[maybe_unused]] const int ec = ::pthread_create(&thread_, nullptr, thread_entry, this);
     assert(ec == 0);
@@ -81,6 +96,11 @@
     return enqueue(snapshot);
 }
 
+void file_log_storage::reopen()
+{
+    enqueue(reopening{});
+}
+
 std::uint64_t file_log_storage::enqueue(operation request)
 {
     std::uint64_t ticket = 0;
@@ -113,19 +133,25 @@
             }
             batch.swap(queue_);
         }
-        if (!failed_)
-        {
-            write_batch(batch);
-        }
+        write_batch(batch);
     }
 }
 
 void file_log_storage::write_batch(const std::deque<queued_write>& batch)
 {
     std::vector<std::uint64_t> tickets;
-    bool ok = true;
     for (const queued_write& it : batch)
     {
+        if (std::holds_alternative<reopening>(it.request))
+        {
+            reopen_now();
+            continue;
+        }
+        if (failed_)
+        {
+            continue;
+        }
+        bool ok = true;
         if (const auto* entries = std::get_if<std::vector<schema::log_entry>>(&it.request))
         {
             writer_->add_entries(*entries);
@@ -146,15 +172,43 @@
         }
         if (!ok)
         {
-            break;
+            fail(writer_->last_reason());
+            continue;
         }
         tickets.push_back(it.ticket);
     }
-    if (!ok || !flush(tickets))
+    if (!failed_ && !flush(tickets))
+    {
+        fail(writer_->last_reason());
+    }
+}
+
+void file_log_storage::fail(const std::string& reason)
+{
+    failed_ = true;
+    callbacks_.failed(reason);
+}
+
+void file_log_storage::reopen_now()
+{
+    if (!failed_)
+    {
+        return;
+    }
+    if (!writer_->discard_unsynced())
+    {
+        fail(writer_->last_reason());
+        return;
+    }
+    std::string reason;
+    auto content = load(disk_, folder_, options_, writer_, reason);
+    if (!content)
     {
-        failed_ = true;
-        callbacks_.failed(writer_->last_reason());
+        fail(reason);
+        return;
     }
+    failed_ = false;
+    callbacks_.reopened(std::move(*content));
 }
 
 bool file_log_storage::flush(std::vector<std::uint64_t>& tickets)
--- a/savoryreach/storage/file_log_storage.hpp
+++ b/savoryreach/storage/file_log_storage.hpp
@@ -27,13 +27,23 @@
 class file_log_storage final : public keeper::log_storage
 {
 public:
-    /// Both are called on the writer thread; the owner forwards them to its control thread.
+    /// What opening has read.
+    struct recovered_content
+    {
+        keeper::stored_state state;
+        std::vector<std::string> repairs; ///< repairs made while opening, one sentence each
+    };
+
+    /// All are called on the writer thread; the owner forwards them to its control thread.
     struct callbacks
     {
         /// The write with this ticket is durable. Called once per ticket, ascending.
         std::function<void(std::uint64_t ticket)> persisted;
-        /// A write or sync failed: no later write becomes durable. Called at most once.
+        /// A write or sync failed: no later write becomes durable until reopen() succeeds. Called
+        /// once per failure, and for each reopen() that fails.
         std::function<void(std::string reason)> failed;
+        /// reopen() has succeeded; the folder holds \p content, and writes are accepted again.
+        std::function<void(recovered_content content)> reopened = {};
     };
 
     struct options
@@ -46,8 +56,7 @@
     struct open_result
     {
         std::unique_ptr<file_log_storage> storage;
-        keeper::stored_state state;
-        std::vector<std::string> repairs; ///< repairs made while opening, one sentence each
+        recovered_content content;
     };
 
     /// Locks and reads \p folder, creating it if needed, and starts the writer thread. Nullopt when
@@ -58,6 +67,10 @@
                                                          const options& storage_options,
                                                          std::string& reason);
 
+    /// After a failure: removes what was written and not synced, reads the folder as open() does,
+    /// and reports reopened or failed. Writes queued before are dropped. Never blocks.
+    void reopen();
+
     /// Writes the queued writes, then stops the thread and unlocks the folder.
     ~file_log_storage() override;
     file_log_storage(const file_log_storage&) = delete;
@@ -73,23 +86,37 @@
     {
         std::uint64_t index = 0;
     };
+    struct reopening
+    {
+    };
     using operation = std::variant<std::vector<schema::log_entry>, truncation, schema::hard_state,
-                                   schema::ledger_snapshot>;
+                                   schema::ledger_snapshot, reopening>;
     struct queued_write
     {
         std::uint64_t ticket = 0;
         operation request;
     };
 
-    file_log_storage(std::unique_ptr<disk_file> lock, std::unique_ptr<segment_writer> writer,
+    /// Reads the folder and begins a segment.
+    [[nodiscard]] static std::optional<recovered_content>
+    load(disk& disk, const std::string& folder, const options& storage_options,
+         std::unique_ptr<segment_writer>& writer, std::string& reason);
+
+    file_log_storage(disk& disk, std::string folder, const options& storage_options,
+                     std::unique_ptr<disk_file> lock, std::unique_ptr<segment_writer> writer,
                      callbacks handlers);
 
     static void* thread_entry(void* self);
     void run();
     std::uint64_t enqueue(operation request);
     void write_batch(const std::deque<queued_write>& batch);
+    void fail(const std::string& reason);
+    void reopen_now();
     [[nodiscard]] bool flush(std::vector<std::uint64_t>& tickets);
 
+    disk& disk_;                             ///< Used by the writer thread only.
+    std::string folder_;                     ///< Without a trailing slash.
+    options options_;                        ///< As given to open().
     std::unique_ptr<disk_file> lock_;        ///< Held while the storage lives.
     std::unique_ptr<segment_writer> writer_; ///< Used by the writer thread only.
     callbacks callbacks_;                    ///< Called on the writer thread.
--- a/savoryreach/storage/segment_writer.cpp
+++ b/savoryreach/storage/segment_writer.cpp
@@ -104,20 +104,25 @@
     }
     if (!file_->write(pending_) || !file_->sync())
     {
-        last_reason_ = file_->last_reason();
-        // The page cache may hold records that are not on the disk; without this truncation a
-        // restarted process would read them back as durable.
-        if (!disk_.truncate(path_of(segments_.back().sequence), synced_bytes_))
+        const std::string reason = file_->last_reason();
+        // A process that starts now must not read the unsynced records back.
+        if (!discard_unsynced())
         {
-            last_reason_ += "; removal of the unsynced records failed too: " + disk_.last_reason();
+            return fail(reason + "; removal of the unsynced records failed too: " + last_reason_);
         }
-        return false;
+        return fail(reason);
     }
     synced_bytes_ += pending_.size();
     pending_.clear();
     return synced_bytes_ < segment_bytes_ || begin_segment();
 }
 
+bool segment_writer::discard_unsynced()
+{
+    return disk_.truncate(path_of(segments_.back().sequence), synced_bytes_) ||
+           fail(disk_.last_reason());
+}
+
 bool segment_writer::save_snapshot(const schema::ledger_snapshot& snapshot)
 {
     assert(pending_.empty());
--- a/savoryreach/storage/segment_writer.hpp
+++ b/savoryreach/storage/segment_writer.hpp
@@ -17,7 +17,7 @@
 /// Writes the segments and snapshots of one data folder. Records are buffered and become durable
 /// together at flush. A new segment begins at start, after a snapshot and above a size limit; its
 /// base record repeats the hard state, so that earlier segments can be removed. After a failed call
-/// the object must not be used.
+/// only discard_unsynced may be called.
 class segment_writer
 {
 public:
@@ -38,6 +38,10 @@
     /// that all records are flushed.
     [[nodiscard]] bool save_snapshot(const schema::ledger_snapshot& snapshot);
 
+    /// After a failed call: truncates the segment to its durable size. A failed sync leaves records
+    /// in the page cache, which would be read back as if they were on the disk.
+    [[nodiscard]] bool discard_unsynced();
+
     /// Why the last call failed.
     [[nodiscard]] const std::string& last_reason() const { return last_reason_; }
 
--- a/tests/keeper/keeper_cluster.cpp
+++ b/tests/keeper/keeper_cluster.cpp
@@ -62,6 +62,16 @@
     nodes_.at(name).disk->crash();
 }
 
+void keeper_cluster::reopen_storage(const std::string& name)
+{
+    auto& it = nodes_.at(name);
+    it.disk->crash();
+    it.disk->repair();
+    it.failure_reported = false;
+    it.checked_index = 0;
+    it.core->storage_reopened(it.disk->durable());
+}
+
 void keeper_cluster::step()
 {
     auto next = std::min(next_tick_, network_.next_delivery());
--- a/tests/keeper/keeper_cluster.hpp
+++ b/tests/keeper/keeper_cluster.hpp
@@ -43,6 +43,9 @@
     /// Stops a keeper; its writes that are not durable are lost.
     void crash(const std::string& name);
 
+    /// The failed disk of a running keeper takes writes again, and its storage is opened again.
+    void reopen_storage(const std::string& name);
+
     /// Advances virtual time; checks the invariants at every tick.
     void run_for(absl::Duration time);
     /// Advances virtual time until \p done; false when \p limit passes before.
--- a/tests/keeper/replicated_log_test.cpp
+++ b/tests/keeper/replicated_log_test.cpp
@@ -279,6 +279,34 @@
     EXPECT_EQ(cluster.leader(), "");
 }
 
+// A keeper whose disk had refused one write never counted again.
+TEST(replicated_log, keeper_whose_storage_is_open_again_counts_for_the_quorum)
+{
+    keeper_cluster cluster(3);
+    const auto epoch = cluster.join("e1", 1);
+    ASSERT_NE(epoch, 0U);
+    const auto leader = cluster.leader();
+    const auto failed = follower_of(cluster, leader);
+    cluster.disk(failed).fail_syncs();
+    EXPECT_EQ(cluster.claim(epoch, "job-1").outcome(), schema::claim_granted);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.core(failed).status().role == "failed"; }));
+    cluster.reopen_storage(failed);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.has_converged(); }));
+    // The leader and the returned keeper are the majority now.
+    for (const auto& name : cluster.running())
+    {
+        if (name != leader && name != failed)
+        {
+            cluster.crash(name);
+            break;
+        }
+    }
+    EXPECT_EQ(cluster.claim(epoch, "job-2").outcome(), schema::claim_granted);
+    cluster.crash(leader);
+    cluster.start(leader);
+    EXPECT_TRUE(cluster.run_until([&] { return !cluster.leader().empty(); }));
+}
+
 // Guards against waiting for an election timeout in a drain: the leader asks a follower to start an
 // election at once.
 TEST(replicated_log, draining_leader_is_followed_within_100_ms)
--- a/tests/soak/fleet_process.hpp
+++ b/tests/soak/fleet_process.hpp
@@ -32,10 +32,15 @@
         settings_["bootstrap"] = is_first;
         const auto file = (folder_ / (name_ + ".json")).string();
         std::ofstream(file) << base::json_line(settings_);
-        pid_ = processes::spawn(
-            {std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet", role_, "--settings=" + file},
-            (folder_ / (name_ + ".log")).string());
+        pid_ = processes::spawn({"/usr/bin/env", "LD_PRELOAD=" SAVORYREACH_FULL_DISK,
+                                 "SAVORYREACH_SOAK_FULL_DISK=" + full_disk_mark(),
+                                 std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet", role_,
+                                 "--settings=" + file},
+                                (folder_ / (name_ + ".log")).string());
     }
+    /// From now on the disk of this process refuses all changes.
+    void fill_disk() const { std::ofstream(full_disk_mark()).flush(); }
+    void free_disk() const { std::filesystem::remove(full_disk_mark()); }
     void signal(int number) const
     {
         if (pid_ > 0)
@@ -50,6 +55,12 @@
     }
 
 private:
+    /// The disk is full while this file exists; see full_disk.cpp.
+    [[nodiscard]] std::string full_disk_mark() const
+    {
+        return settings_["dataDir"].asString() + ".full";
+    }
+
     void wait()
     {
         if (pid_ > 0)
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -34,6 +34,8 @@
 /// After the last fault everything must be served again within this time: an election, and the
 /// leases of lost hosts.
 constexpr milliseconds recovery(10'000);
+/// Time for a member of the core to count again after its disk takes writes.
+constexpr milliseconds catch_up(1500);
 
 std::int64_t environment(const char* name, std::int64_t fallback)
 {
@@ -374,6 +376,28 @@
             endpoints_[pick(agents)]->crash();
         }
     }
+    /// Disks that refuse writes: one at a time, or that of all fronts at once. A front whose disk
+    /// takes writes again has the time to catch up before the next one fails.
+    void fill_disks()
+    {
+        if (!repairs_.empty() || clock::now() < next_full_disk_at_)
+        {
+            return;
+        }
+        const bool all = random_() % 4 == 0;
+        const auto chosen = random_() % fronts;
+        const auto pause = milliseconds(300 + random_() % 1200);
+        for (std::size_t n = 0; n < fronts; ++n)
+        {
+            if (all || n == chosen)
+            {
+                auto& front = *processes_[n];
+                front.fill_disk();
+                repairs_.emplace(clock::now() + pause, [&front] { front.free_disk(); });
+            }
+        }
+        next_full_disk_at_ = clock::now() + pause + catch_up;
+    }
     void repair(clock::time_point until)
     {
         while (!repairs_.empty() && repairs_.begin()->first <= until)
@@ -384,6 +408,53 @@
         }
     }
 
+    /// Plays \p fault again and again under load and changes of the configuration, then checks the
+    /// promises.
+    void run(const std::function<void()>& fault)
+    {
+        ASSERT_TRUE(wait_until_served(recovery)) << "nothing is served after the start";
+        std::vector<std::thread> clients;
+        for (std::size_t n = 0; n < client_threads; ++n)
+        {
+            clients.emplace_back([this, seed = random_()] { be_client(seed); });
+        }
+        const auto end =
+            clock::now() + std::chrono::seconds(environment("SAVORYREACH_SOAK_SECONDS", 6));
+        std::int64_t version = 1;
+        std::int64_t acknowledged = 1;
+        while (clock::now() < end)
+        {
+            fault();
+            repair(clock::now());
+            const auto front = static_cast<int>(random_() % fronts);
+            send_odd_heartbeat(static_cast<int>(version));
+            if (version % 4 == 0)
+            {
+                send_unreadable_configuration(front, version + 1);
+            }
+            if (configure(front, ++version))
+            {
+                acknowledged = version;
+            }
+            std::this_thread::sleep_for(milliseconds(100 + random_() % 400));
+        }
+        repair(clock::time_point::max());
+        EXPECT_TRUE(wait_until_served(recovery)) << "not served again after the faults";
+        clients_end_ = true;
+        for (auto& it : clients)
+        {
+            it.join();
+        }
+        EXPECT_GE(version_in_force(), acknowledged) << "an acknowledged configuration is lost";
+        for (const auto& it : watch_.violations())
+        {
+            ADD_FAILURE() << it;
+        }
+        EXPECT_GT(watch_.completed_jobs(), 20U);
+        std::cout << "seed " << GetParam() << ": " << watch_.completed_jobs()
+                  << " jobs completed, logs in " << folder_ << "\n";
+    }
+
     std::mt19937_64 random_;
     std::filesystem::path folder_;
     watch watch_;
@@ -392,52 +463,20 @@
     std::vector<std::unique_ptr<proxy>> front_proxies_;
     std::vector<std::unique_ptr<process>> processes_;
     std::multimap<clock::time_point, std::function<void()>> repairs_;
+    clock::time_point next_full_disk_at_ = clock::now();
     std::atomic<bool> clients_end_ = false;
 };
 
 TEST_P(fleet_soak, faults_in_series_break_no_promise)
 {
-    ASSERT_TRUE(wait_until_served(recovery)) << "nothing is served after the start";
-    std::vector<std::thread> clients;
-    for (std::size_t n = 0; n < client_threads; ++n)
-    {
-        clients.emplace_back([this, seed = random_()] { be_client(seed); });
-    }
-    const auto end =
-        clock::now() + std::chrono::seconds(environment("SAVORYREACH_SOAK_SECONDS", 6));
-    std::int64_t version = 1;
-    std::int64_t acknowledged = 1;
-    while (clock::now() < end)
-    {
-        harm();
-        repair(clock::now());
-        const auto front = static_cast<int>(random_() % fronts);
-        send_odd_heartbeat(static_cast<int>(version));
-        if (version % 4 == 0)
-        {
-            send_unreadable_configuration(front, version + 1);
-        }
-        if (configure(front, ++version))
-        {
-            acknowledged = version;
-        }
-        std::this_thread::sleep_for(milliseconds(100 + random_() % 400));
-    }
-    repair(clock::time_point::max());
-    EXPECT_TRUE(wait_until_served(recovery)) << "not served again after the faults";
-    clients_end_ = true;
-    for (auto& it : clients)
-    {
-        it.join();
-    }
-    EXPECT_GE(version_in_force(), acknowledged) << "an acknowledged configuration is lost";
-    for (const auto& it : watch_.violations())
-    {
-        ADD_FAILURE() << it;
-    }
-    EXPECT_GT(watch_.completed_jobs(), 20U);
-    std::cout << "seed " << GetParam() << ": " << watch_.completed_jobs()
-              << " jobs completed, logs in " << folder_ << "\n";
+    run([this] { harm(); });
+}
+
+// A member of the core whose disk had refused one write never counted again; two such faults, or
+// one of the disk that all share, ended the core.
+TEST_P(fleet_soak, full_disks_in_series_break_no_promise)
+{
+    run([this] { fill_disks(); });
 }
 
 std::string seed_name(const ::testing::TestParamInfo<std::int64_t>& it)
--- a/tests/storage/file_log_storage_test.cpp
+++ b/tests/storage/file_log_storage_test.cpp
@@ -95,7 +95,7 @@
     }
     auto second = open_real();
     ASSERT_TRUE(second) << reason;
-    state = second->state;
+    state = second->content.state;
     EXPECT_EQ(loaded(), "3/1 4/2 5/2 6/2 ");
     EXPECT_EQ(state.hard_state.SerializeAsString(), hard.SerializeAsString());
     EXPECT_EQ(state.snapshot->SerializeAsString(), snapshot(2).SerializeAsString());
@@ -287,6 +287,68 @@
     }
 }
 
+// One refused write ended a storage for good, although its disk took writes again.
+TEST_F(file_log_storage_test, reopening_after_a_refused_write_keeps_what_was_acknowledged)
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed)
+    {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        base::seeded_random random(seed);
+        disk = memory_disk();
+        ASSERT_TRUE(open(150)) << reason;
+        std::uint64_t last = 0;
+        for (int round = 0; round < 4; ++round)
+        {
+            persisted.clear();
+            const bool is_sync = random.below(3) == 0;
+            disk.fail_syncs(is_sync);
+            disk.fail_from(is_sync ? 0 : disk.changes() + 1 + random.below(8));
+            for (std::uint64_t n = 1; n <= 4; ++n)
+            {
+                storage->append(entries(last + n, last + n));
+            }
+            storage->save_snapshot(snapshot(last + 2));
+            storage->append(entries(last + 5, last + 5));
+            wait_for_failure();
+            const std::uint64_t acknowledged =
+                last + std::min<std::size_t>(persisted.size(), 4) + (persisted.size() == 6 ? 1 : 0);
+            disk.fail_from(disk.changes() + 1);
+            EXPECT_FALSE(reopen()) << "the disk refuses all changes";
+            disk.recover();
+            ASSERT_TRUE(reopen()) << failures.back();
+            last = !state.entries.empty() ? state.entries.back().index()
+                                          : (state.snapshot ? state.snapshot->last_index() : 0);
+            EXPECT_GE(last, acknowledged);
+            storage->append(entries(last + 1, last + 1));
+            close();
+            ++last;
+            disk.lose_power(random);
+            ASSERT_TRUE(open(150)) << reason;
+            ASSERT_FALSE(state.entries.empty());
+            EXPECT_EQ(state.entries.back().index(), last);
+        }
+    }
+}
+
+// A failed sync leaves records in the page cache; reopening must not read them back as durable.
+TEST_F(file_log_storage_test, reopening_after_a_failed_sync_drops_the_unsynced_records)
+{
+    ASSERT_TRUE(open());
+    storage->append(entries(1, 1));
+    ASSERT_TRUE(open());
+    disk.fail_from(disk.changes() + 2); // the write succeeds, its sync and all later changes fail
+    storage->append(entries(2, 2));
+    wait_for_failure();
+    EXPECT_TRUE(persisted.empty());
+    disk.recover();
+    ASSERT_TRUE(reopen());
+    EXPECT_EQ(loaded(), "1/1 ");
+    storage->append(entries(2, 3, 4));
+    close();
+    ASSERT_TRUE(open()) << reason;
+    EXPECT_EQ(loaded(), "1/1 2/4 3/4 ");
+}
+
 // Guards against accepting a log from which a segment that is still needed is missing.
 TEST_F(file_log_storage_test, missing_segment_with_entries_after_snapshot_is_refused)
 {
@@ -335,7 +397,7 @@
         for (const auto& [name, content] : original)
         {
             disk.files()[name] =
-                std::make_shared<memory_disk::inode>(memory_disk::inode{content, content});
+                std::make_shared<memory_disk::inode>(memory_disk::inode{content, content, {}});
         }
         auto victim =
             std::next(disk.files().begin(), static_cast<long>(random.below(disk.files().size())));
--- a/tests/storage/storage_fixture.hpp
+++ b/tests/storage/storage_fixture.hpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <semaphore>
+
 namespace savoryreach::storage
 {
 
@@ -49,6 +51,13 @@
                                     [this](const std::string& why)
                                     {
                                         failures.push_back(why);
+                                        answered.release();
+                                    },
+                                    [this](file_log_storage::recovered_content content)
+                                    {
+                                        state = std::move(content.state);
+                                        ++reopenings;
+                                        answered.release();
                                     }},
                                    {segment_bytes}, reason);
         if (!result)
@@ -56,11 +65,23 @@
             return false;
         }
         storage = std::move(result->storage);
-        state = std::move(result->state);
-        repairs = std::move(result->repairs);
+        state = std::move(result->content.state);
+        repairs = std::move(result->content.repairs);
         return true;
     }
 
+    /// Waits for the failure of a queued write.
+    void wait_for_failure() { answered.acquire(); }
+
+    /// Opens the failed storage again; false if that failed, too.
+    bool reopen()
+    {
+        const std::size_t before = reopenings;
+        storage->reopen();
+        answered.acquire();
+        return reopenings > before;
+    }
+
     void close() { storage.reset(); }
 
     /// "index/term" of the loaded entries, separated by spaces.
@@ -88,6 +109,8 @@
     std::vector<std::string> repairs;
     std::vector<std::uint64_t> persisted;
     std::vector<std::string> failures;
+    std::size_t reopenings = 0;
+    std::counting_semaphore<> answered{0}; ///< Released by each failure and each reopening.
     std::string reason;
 };
 
