--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -184,6 +184,11 @@
 void core_member::on_storage_reopened(const storage::file_log_storage::recovered_content& content)
 {
     load_log(content);
+    if (log_->is_failed())
+    {
+        on_storage_failed("the snapshot can't be loaded");
+        return;
+    }
     if (retired_)
     {
         log_->transfer_leadership();
--- a/tests/agent/agent_core_test.cpp
+++ b/tests/agent/agent_core_test.cpp
@@ -97,7 +97,7 @@
     ASSERT_EQ(entry_->results.size(), 1u);
     EXPECT_EQ(entry_->results[0].outcome(), schema::task_succeeded);
     EXPECT_EQ(entry_->results[0].output(), "out");
-    EXPECT_EQ(cluster_.events.counts["task_started"], 1);
+    EXPECT_EQ(cluster_.events.count("task_started"), 1);
     cluster_.run_for(absl::Seconds(1));
     ASSERT_EQ(entry_->hellos.back().counters_size(), 1);
     EXPECT_EQ(entry_->hellos.back().counters(0).succeeded(), 1u);
@@ -109,7 +109,7 @@
     start_tasks("job", 3);
     entry_->lease_ms = 0;
     cluster_.run_for(absl::Milliseconds(2100));
-    EXPECT_EQ(cluster_.events.counts["session_lease_expired"], 1);
+    EXPECT_EQ(cluster_.events.count("session_lease_expired"), 1);
     EXPECT_EQ(cluster_.agent->status().waiting, 0u);
     cluster_.run_for(absl::Milliseconds(2300));
     EXPECT_TRUE(cluster_.endpoint.stopped_run_ids.empty());
@@ -286,7 +286,7 @@
     cluster_.send_inquiry(asker, 7);
     deliver_messages();
     EXPECT_EQ(asker.inquiry_replies.size(), 3u);
-    EXPECT_EQ(cluster_.events.counts["epoch_fenced"], 1);
+    EXPECT_EQ(cluster_.events.count("epoch_fenced"), 1);
 }
 
 // Guards against stopping a run while an entry that took over the job still inquires about it, and
--- a/tests/agent/agent_random_test.cpp
+++ b/tests/agent/agent_random_test.cpp
@@ -225,9 +225,9 @@
     }
     EXPECT_FALSE(HasFailure()) << "seed " << GetParam();
     EXPECT_GT(cluster_.agent->status().starts, 50u) << "too few starts to cover the faults";
-    EXPECT_GT(cluster_.events.counts["task_refused"], 50);
-    EXPECT_GT(cluster_.events.counts["session_lease_expired"], 0);
-    EXPECT_GT(cluster_.events.counts["epoch_fenced"], 0);
+    EXPECT_GT(cluster_.events.count("task_refused"), 50);
+    EXPECT_GT(cluster_.events.count("session_lease_expired"), 0);
+    EXPECT_GT(cluster_.events.count("epoch_fenced"), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, agent_random_test, testing::Range<std::uint64_t>(1, 31));
--- a/tests/agent/scripted_cluster.hpp
+++ b/tests/agent/scripted_cluster.hpp
@@ -4,6 +4,7 @@
 #include "savoryreach/agent/agent_core.hpp"
 #include "savoryreach/base/seeded_random.hpp"
 #include "savoryreach/net/session.hpp"
+#include "tests/simulation/counting_sink.hpp"
 #include "tests/simulation/fake_network.hpp"
 
 #include <absl/container/btree_map.h>
@@ -38,18 +39,6 @@
     std::function<void(const run_request&)> on_run; ///< called with each run request
 };
 
-/// Counts events by kind.
-class counting_sink final : public observe::event_sink
-{
-public:
-    void record(std::string_view kind, std::initializer_list<observe::event_field>) override
-    {
-        ++counts[std::string(kind)];
-    }
-
-    absl::btree_map<std::string, int> counts;
-};
-
 /// Scripted entry with one epoch: grants leases and records the messages of the agent.
 struct scripted_entry
 {
@@ -92,7 +81,7 @@
     base::seeded_random random;
     simulation::fake_network network;
     scripted_endpoint endpoint;
-    counting_sink events;
+    simulation::counting_sink events;
     schema::cluster_view keeper_view; ///< sent with each keeper reply
     std::uint64_t incarnation = 50;   ///< assigned at registration; each expiry adds 1
     bool expire_next_renewal = false;
--- a/tests/daemon/core_member_test.cpp
+++ b/tests/daemon/core_member_test.cpp
@@ -2,6 +2,7 @@
 
 #include "savoryreach/base/system_clock.hpp"
 #include "tests/daemon/refusing_disk.hpp"
+#include "tests/simulation/counting_sink.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
@@ -22,19 +23,6 @@
 /// Longer than an election and the longest pause of the reopening together.
 constexpr milliseconds patience(10'000);
 
-class counted_events final : public observe::event_sink
-{
-public:
-    void record(std::string_view kind, std::initializer_list<observe::event_field>) override
-    {
-        ++counts_[std::string(kind)];
-    }
-    int count(const std::string& kind) { return counts_[kind]; }
-
-private:
-    std::map<std::string, int> counts_;
-};
-
 /// Three members of a core on one event loop, linked over loopback, each with a disk that can
 /// refuse writes.
 class core_member_test : public ::testing::Test
@@ -46,7 +34,7 @@
         std::string address;
         std::unique_ptr<net::link_hub> hub;
         std::unique_ptr<core_member> core;
-        counted_events events;
+        simulation::counting_sink events;
     };
 
     core_member_test()
--- a/tests/keeper/keeper_cluster.hpp
+++ b/tests/keeper/keeper_cluster.hpp
@@ -3,6 +3,7 @@
 
 #include "savoryreach/base/seeded_random.hpp"
 #include "savoryreach/keeper/keeper_core.hpp"
+#include "tests/simulation/counting_sink.hpp"
 #include "tests/simulation/fake_disk.hpp"
 #include "tests/simulation/fake_network.hpp"
 #include "tests/simulation/virtual_clock.hpp"
@@ -18,20 +19,6 @@
 namespace savoryreach::keeper
 {
 
-/// Counts the events of all keepers by kind.
-class counting_sink final : public observe::event_sink
-{
-public:
-    void record(std::string_view kind, std::initializer_list<observe::event_field>) override
-    {
-        ++counts_[std::string(kind)];
-    }
-    int count(const std::string& kind) { return counts_[kind]; }
-
-private:
-    absl::btree_map<std::string, int> counts_;
-};
-
 /// Keepers k1 to kN on a fake network and fake disks, with clients that send requests to them.
 class keeper_cluster
 {
@@ -67,7 +54,7 @@
     simulation::fake_disk& disk(const std::string& name) { return *nodes_.at(name).disk; }
     simulation::fake_network& network() { return network_; }
     simulation::virtual_clock& clock() { return clock_; }
-    counting_sink& events() { return events_; }
+    simulation::counting_sink& events() { return events_; }
     std::vector<std::string> running() const;
     /// True when all running keepers have applied the complete log.
     bool has_converged() const;
@@ -103,7 +90,7 @@
     simulation::virtual_clock clock_;
     base::seeded_random random_;
     simulation::fake_network network_;
-    counting_sink events_;
+    simulation::counting_sink events_;
     schema::keeper_settings settings_;
     absl::btree_map<std::string, node> nodes_;
     absl::btree_map<std::string, bool> clients_;
