--- a/tests/soak/fleet_process.hpp
+++ b/tests/soak/fleet_process.hpp
@@ -32,11 +32,11 @@
         settings_["bootstrap"] = is_first;
         const auto file = (folder_ / (name_ + ".json")).string();
         std::ofstream(file) << base::json_line(settings_);
-        pid_ = processes::spawn({"/usr/bin/env", "LD_PRELOAD=" SAVORYREACH_DISK_FAULTS,
-                                 "SAVORYREACH_SOAK_DISK=" + disk(),
-                                 std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet", role_,
-                                 "--settings=" + file},
-                                (folder_ / (name_ + ".log")).string());
+        pid_ = processes::spawn(
+            {"/usr/bin/env", std::string("LD_PRELOAD=") + SAVORYREACH_DISK_FAULTS,
+             "SAVORYREACH_SOAK_DISK=" + disk(),
+             std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet", role_, "--settings=" + file},
+            (folder_ / (name_ + ".log")).string());
     }
     /// From now on the disk of this process refuses all changes.
     void fill_disk() const { std::ofstream(disk() + ".full").flush(); }
