Soak whole deployments: losses of power, cuts, replaced members, held connections

A second preloaded library silences connections between hosts in one or both directions and steps the time of day; the first one now also knows what a loss of power leaves of a disk, and stalled disks. Operators change the configuration at any front, send it again after unclear answers, race each other and send invalid ones; readers ask every front for the configuration and its queues. At the end everything is struck at once, right after an acknowledgement, with or without power, with as many disks lost as may be.

--- a/tests/soak/disk_faults.cpp
+++ b/tests/soak/disk_faults.cpp
@@ -1,7 +1,8 @@
 // Preloaded into the processes of the soak. SAVORYREACH_SOAK_DISK names the folder of a process:
 // while a file of that name with the suffix .full exists, the folder takes no changes, as a full
 // disk does; while one with the suffix .slow exists, each sync takes as many milliseconds as it
-// says.
+// says; while one with the suffix .stalled exists, writes and syncs wait. If a folder with the
+// suffix .durable exists, it holds what a loss of power would leave (power_loss.hpp).
 
 #include <cerrno>
 #include <chrono>
@@ -9,7 +10,9 @@
 #include <cstdlib>
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -33,7 +36,12 @@
 
 bool is_on_disk(const std::string& path)
 {
-    return !disk().empty() && path.compare(0, disk().size(), disk()) == 0;
+    return !disk().empty() && path.compare(0, disk().size() + 1, disk() + "/") == 0;
+}
+
+bool exists(const std::string& suffix)
+{
+    return !disk().empty() && ::access((disk() + suffix).c_str(), F_OK) == 0;
 }
 
 std::string path_of(int descriptor)
@@ -46,7 +54,7 @@
 
 bool is_full()
 {
-    return !disk().empty() && ::access((disk() + ".full").c_str(), F_OK) == 0;
+    return exists(".full");
 }
 
 /// True when a change of \p path is refused; sets errno then.
@@ -65,9 +73,19 @@
     return is_full() && refuses(path_of(descriptor));
 }
 
+void wait_if_stalled(const std::string& path)
+{
+    while (is_on_disk(path) && exists(".stalled"))
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
 void wait_if_slow(int descriptor)
 {
-    if (is_on_disk(path_of(descriptor)))
+    const auto path = path_of(descriptor);
+    wait_if_stalled(path);
+    if (is_on_disk(path) || path == disk())
     {
         int delay_ms = 0;
         std::ifstream(disk() + ".slow") >> delay_ms;
@@ -75,6 +93,78 @@
     }
 }
 
+// ---- what a loss of power leaves ----
+
+std::mutex durable_mutex;
+
+std::string durable(const std::string& path)
+{
+    return disk() + ".durable" + path.substr(disk().size());
+}
+
+/// Appends a renaming or a removal to the list of those that no sync of their folder has covered.
+void record_name(const std::string& change)
+{
+    if (exists(".durable"))
+    {
+        const std::lock_guard guard(durable_mutex);
+        std::ofstream(disk() + ".names", std::ios::app) << change << "\n";
+    }
+}
+
+std::string folder_of(const std::string& path)
+{
+    return path.substr(0, path.rfind('/'));
+}
+
+void apply_names(const std::string& folder)
+{
+    std::error_code ec;
+    std::string kept;
+    std::ifstream names(disk() + ".names");
+    std::string from;
+    std::string to;
+    while (names >> from >> to)
+    {
+        if (folder_of(from) != folder)
+        {
+            kept += from + " " + to + "\n";
+        }
+        else if (to == "-")
+        {
+            std::filesystem::remove(durable(from), ec);
+        }
+        else
+        {
+            std::filesystem::rename(durable(from), durable(to), ec);
+        }
+    }
+    names.close();
+    std::ofstream(disk() + ".names") << kept;
+}
+
+void keep_durable(int descriptor)
+{
+    const auto path = path_of(descriptor);
+    if (!exists(".durable") || (!is_on_disk(path) && path != disk()))
+    {
+        return;
+    }
+    const std::lock_guard guard(durable_mutex);
+    std::error_code ec;
+    if (std::filesystem::is_directory(path, ec))
+    {
+        apply_names(path);
+        return;
+    }
+    // Copied aside first: the process may be killed during the copy.
+    const auto kept = durable(path);
+    std::filesystem::create_directories(folder_of(kept), ec);
+    std::filesystem::copy_file(path, disk() + ".copy",
+                               std::filesystem::copy_options::overwrite_existing, ec);
+    std::filesystem::rename(disk() + ".copy", kept, ec);
+}
+
 } // namespace
 
 extern "C"
@@ -83,6 +173,10 @@
     ssize_t write(int descriptor, const void* buf, size_t n)
     {
         static auto* const next = real(&write, "write");
+        if (exists(".stalled"))
+        {
+            wait_if_stalled(path_of(descriptor));
+        }
         return refuses(descriptor) ? -1 : next(descriptor, buf, n);
     }
 
@@ -90,14 +184,24 @@
     {
         static auto* const next = real(&fsync, "fsync");
         wait_if_slow(descriptor);
-        return next(descriptor);
+        const int result = next(descriptor);
+        if (result == 0)
+        {
+            keep_durable(descriptor);
+        }
+        return result;
     }
 
     int fdatasync(int descriptor)
     {
         static auto* const next = real(&fdatasync, "fdatasync");
         wait_if_slow(descriptor);
-        return next(descriptor);
+        const int result = next(descriptor);
+        if (result == 0)
+        {
+            keep_durable(descriptor);
+        }
+        return result;
     }
 
     int ftruncate(int descriptor, off_t size) noexcept
@@ -109,13 +213,31 @@
     int rename(const char* from, const char* to) noexcept
     {
         static auto* const next = real(&rename, "rename");
-        return refuses(std::string(from)) ? -1 : next(from, to);
+        if (refuses(std::string(from)))
+        {
+            return -1;
+        }
+        const int result = next(from, to);
+        if (result == 0 && is_on_disk(from))
+        {
+            record_name(std::string(from) + " " + to);
+        }
+        return result;
     }
 
     int unlink(const char* path) noexcept
     {
         static auto* const next = real(&unlink, "unlink");
-        return refuses(std::string(path)) ? -1 : next(path);
+        if (refuses(std::string(path)))
+        {
+            return -1;
+        }
+        const int result = next(path);
+        if (result == 0 && is_on_disk(path))
+        {
+            record_name(std::string(path) + " -");
+        }
+        return result;
     }
 
     int open(const char* path, int flags, ...)
--- a/tests/soak/fleet_soak_test.cpp
+++ b/tests/soak/fleet_soak_test.cpp
@@ -5,12 +5,12 @@
 
 #include "savoryreach/base/json_line.hpp"
 #include "tests/soak/fleet_process.hpp"
+#include "tests/soak/job_client.hpp"
 #include "tests/soak/loopback_proxy.hpp"
 #include "tests/soak/soak_endpoint.hpp"
 
 #include <gtest/gtest.h>
 
-#include <cstdio>
 #include <functional>
 #include <iostream>
 
@@ -25,7 +25,6 @@
 constexpr int client_port = 8161;
 constexpr int ready_port = 8167;
 constexpr std::size_t client_threads = 4;
-constexpr int client_deadline_ms = 3000;
 constexpr const char* lasting_prefix = "/jobs/";
 /// Prefix of a queue that is removed and added again while its jobs run.
 constexpr const char* removed_prefix = "/seasonal/";
@@ -245,40 +244,9 @@
         return 0;
     }
 
-    /// One job over an open connection; the status of its answer, 0 for none.
     int send_job(httplib::Client& to, const std::string& prefix, const std::string& id, int tasks)
     {
-        Json::Value step;
-        step["count"] = tasks;
-        step["cpu"] = task_cpu_milli;
-        step["memMb"] = 64;
-        step["estimatedMs"] = task_ms;
-        Json::Value body;
-        body["spec"] = "x";
-        body["bestEffort"] = true;
-        body["steps"].append(step);
-        const httplib::Headers headers{
-            {"Host", "soak.example"},
-            {"X-Savoryreach-Deadline-Ms", std::to_string(client_deadline_ms)}};
-        const auto reply = to.Post(prefix + id, headers, base::json_line(body), "application/json");
-        if (!reply)
-        {
-            return 0;
-        }
-        const bool has_no_queue = reply->status == 404 && prefix == removed_prefix;
-        if (reply->status == 429 || reply->status == 503 || has_no_queue)
-        {
-            watch_.refused(id);
-        }
-        else if (reply->status == 200 && read_body(reply->body)["state"].asString() == "completed")
-        {
-            watch_.completed(id, tasks);
-        }
-        else if (reply->status != 200 && reply->status != 504)
-        {
-            watch_.violation("job " + id + " was answered " + std::to_string(reply->status));
-        }
-        return reply->status;
+        return soak::send_job(to, watch_, prefix, id, tasks, prefix == removed_prefix);
     }
 
     /// A client that keeps its connection to one front as long as it lasts.
@@ -294,11 +262,9 @@
             int status = 200;
             while (status != 0 && !clients_end_)
             {
-                char id[17];
                 const auto number = random();
-                std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(number));
-                status = send_job(to, number % 4 == 0 ? removed_prefix : lasting_prefix, id,
-                                  1 + static_cast<int>(random() % 3));
+                status = send_job(to, number % 4 == 0 ? removed_prefix : lasting_prefix,
+                                  job_id(number), 1 + static_cast<int>(random() % 3));
                 std::this_thread::sleep_for(milliseconds(random() % 40));
             }
         }
@@ -314,9 +280,7 @@
             httplib::Client to(ip_of(40 + front), client_port);
             to.set_connection_timeout(0, 300'000);
             to.set_read_timeout(client_deadline_ms / 1000 + 1, 0);
-            char id[17];
-            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(random_()));
-            if (send_job(to, lasting_prefix, id, 1) == 200)
+            if (send_job(to, lasting_prefix, job_id(random_()), 1) == 200)
             {
                 ++front;
                 continue;
--- a/tests/soak/sources.cmake
+++ b/tests/soak/sources.cmake
@@ -1,11 +1,21 @@
 # Real processes under faults from outside. Two short seeds here; more by the environment variables
-# that the test names.
+# that the tests name.
 add_library(soak_disk_faults MODULE soak/disk_faults.cpp)
-target_link_libraries(soak_disk_faults PRIVATE ${CMAKE_DL_LIBS})
-add_executable(soak_test soak/fleet_soak_test.cpp processes/child_process.cpp)
-target_compile_definitions(soak_test PRIVATE
-  SAVORYREACH_DAEMONS="${PROJECT_BINARY_DIR}/daemons"
-  SAVORYREACH_DISK_FAULTS="$<TARGET_FILE:soak_disk_faults>")
-target_link_libraries(soak_test PRIVATE savoryreach_platform savoryreach GTest::gtest GTest::gtest_main)
-add_dependencies(soak_test savoryreach-fleet soak_disk_faults)
-gtest_discover_tests(soak_test DISCOVERY_TIMEOUT 60 PROPERTIES RESOURCE_LOCK processes)
+add_library(soak_network_faults MODULE soak/network_faults.cpp)
+target_include_directories(soak_network_faults PRIVATE ${PROJECT_SOURCE_DIR})
+foreach(library soak_disk_faults soak_network_faults)
+  target_link_libraries(${library} PRIVATE ${CMAKE_DL_LIBS})
+endforeach()
+
+function(savoryreach_soak name)
+  add_executable(${name} ${ARGN} processes/child_process.cpp)
+  target_compile_definitions(${name} PRIVATE
+    SAVORYREACH_DAEMONS="${PROJECT_BINARY_DIR}/daemons"
+    SAVORYREACH_DISK_FAULTS="$<TARGET_FILE:soak_disk_faults>"
+    SAVORYREACH_NETWORK_FAULTS="$<TARGET_FILE:soak_network_faults>")
+  target_link_libraries(${name} PRIVATE savoryreach_platform savoryreach GTest::gtest GTest::gtest_main)
+  add_dependencies(${name} savoryreach-fleet soak_disk_faults soak_network_faults)
+  gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60 PROPERTIES RESOURCE_LOCK processes)
+endfunction()
+savoryreach_soak(soak_test soak/fleet_soak_test.cpp)
+savoryreach_soak(deployment_soak_test soak/deployment_soak_test.cpp)
