Replace a lost voter of the core before the next loss may come

What callers saw: after two losses of disks, each within what the deployment bears, no configuration was acknowledged or read any more, on any front, for good (503, "no dispatcher"), while all processes ran.

Cause: a lost voter went on counting for the majority for longer than the deployment's tolerance covers. - The successor of a member that had lost its disk was made a voter beside the dead one, which was removed at the next check, up to 0.5 s later. When the same host lost its disk again in between, two of four voters were dead: no majority, for ever.

Change: the planner removes a lost voter before it adds the successor; the majority then never needs more live voters than before. A voter above the wanted number is removed only while all have answered within 1 s. Every member notes when it last had a link to each other one, so that a new leader knows who was gone already; it waits 1 s for first answers. The limit of silence is the platform's catchUpS less 1 s for the change itself (2 s at least); the check runs every 100 ms instead of 500. A stand-by that was removed for its silence is the last choice.

Tests: core_repair.host_that_loses_its_disk_twice_* and host_lost_after_the_successor_of_another_* (real processes): both failed on the code before ("no configuration is acknowledged any more", 12 s), pass now (0.9 s and 6.0 s). planner.lost_voter_with_stand_by_is_removed_before_it_is_added and voter_that_lost_its_disk_is_replaced_* replace two tests that asked for the old order (successor first); they check the whole sequence of changes now.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -145,7 +145,8 @@
     daemon::fleet_node node(io, clock, hybrid,
                             {absl::StrCat(config.node_name, "/", std::random_device()()), config.ip,
                              absl::StrCat(config.ip, ":", config.internal_port), config.seeds,
-                             config.data_folder, config.first_start, config.tolerated_failures});
+                             config.data_folder, config.first_start, config.tolerated_failures,
+                             config.catch_up});
     platform::front_api api(io, node);
     if (const auto error =
             api.listen(config.client_address, config.control_address, config.ready_address))
--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -15,8 +15,9 @@
 /// stays below a tenth of a disk of 128 MB.
 constexpr std::uint64_t snapshot_every = 64;
 constexpr std::uint64_t segment_bytes = 2UL * 1024 * 1024;
-/// Interval at which the leader checks whether the membership must change.
-constexpr absl::Duration membership_interval = absl::Milliseconds(500);
+/// Interval at which a member looks who is linked and, as the leader, whether the membership must
+/// change.
+constexpr absl::Duration membership_interval = absl::Milliseconds(100);
 
 constexpr const char* identity_file = "/identity";
 
@@ -27,6 +28,13 @@
     return (static_cast<std::uint64_t>(device()) << half) | device();
 }
 
+absl::Time time_of(const core_member::times_by_name& times, const std::string& name,
+                   absl::Time fallback)
+{
+    const auto it = times.find(name);
+    return it == times.end() ? fallback : it->second;
+}
+
 std::string founder_name(const std::string& address)
 {
     return absl::StrCat(address, "/founder");
@@ -100,7 +108,8 @@
                          core_identity identity, net::link_hub& hub, const base::clock& clock,
                          observe::event_sink& events)
     : identity_(std::move(identity)), hub_(hub), clock_(clock), events_(events),
-      planner_(options.wanted_voters), random_(random_u64()), disk_(std::move(disk))
+      planner_(options.wanted_voters, options.replace_after), random_(random_u64()),
+      disk_(std::move(disk)), started_at_(clock.now())
 {
 }
 
@@ -229,27 +238,49 @@
         storage_->reopen();
     }
     log_->tick();
+    const auto now = clock_.now();
+    const bool is_due = now >= next_membership_update_;
+    if (is_due)
+    {
+        next_membership_update_ = now + membership_interval;
+    }
     if (!log_->can_serve())
     {
         leading_since_ = absl::InfiniteFuture();
+        if (is_due)
+        {
+            record_links();
+        }
         return;
     }
-    const auto now = clock_.now();
     leading_since_ = std::min(leading_since_, now);
-    if (now >= next_membership_update_)
+    if (is_due)
     {
-        next_membership_update_ = now + membership_interval;
         update_membership();
     }
 }
 
+void core_member::record_links()
+{
+    for (const auto& it : members().members())
+    {
+        if (hub_.is_linked(it.name()))
+        {
+            last_linked_at_[it.name()] = clock_.now();
+        }
+    }
+}
+
 void core_member::update_membership()
 {
-    const auto change =
-        planner_.next({identity_.name, log_->members().current(),
-                       [this](const std::string& name) { return log_->last_contact(name); },
-                       hub_.peers(), leading_since_},
-                      clock_.now());
+    const auto change = planner_.next(
+        {identity_.name, log_->members().current(),
+         [this](const std::string& name) { return log_->last_contact(name); },
+         [this](const std::string& name) { return time_of(last_linked_at_, name, started_at_); },
+         [this](const std::string& name)
+         { return time_of(last_removed_at_, name, absl::InfinitePast()); },
+         hub_.peers(), leading_since_},
+        clock_.now());
     if (!change)
     {
         return;
@@ -263,6 +294,10 @@
                                          {"change", change->remove() ? "remove" : "add"},
                                          {"result", index ? "proposed" : error}});
     }
+    if (index)
+    {
+        (change->remove() ? last_removed_at_ : last_linked_at_)[change->name()] = clock_.now();
+    }
     last_change_ = text;
     log_->flush();
 }
--- a/savoryreach/daemon/core_member.hpp
+++ b/savoryreach/daemon/core_member.hpp
@@ -11,6 +11,8 @@
 #include "savoryreach/storage/file_log_storage.hpp"
 #include "savoryreach/storage/reopen_schedule.hpp"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <boost/asio.hpp>
 
 #include <functional>
@@ -39,6 +41,8 @@
     std::vector<std::string> seeds; ///< addresses of the initial members at the first start
     bool first_start = false;
     std::size_t wanted_voters = 3;
+    /// A voter without a sign of life for this time is replaced, if there is a stand-by.
+    absl::Duration replace_after = absl::Seconds(3);
 };
 
 /// Reads the identity from the folder, or creates and stores one. On failure returns nullopt and
@@ -53,6 +57,8 @@
 class core_member
 {
 public:
+    using times_by_name = absl::flat_hash_map<std::string, absl::Time>;
+
     /// Opens the log in the folder on \p disk. On failure returns null and sets \p error. \p
     /// on_change is called when a write to disk has completed or failed, and when the log is open
     /// again.
@@ -93,6 +99,7 @@
     void on_storage_failed(const std::string& reason);
     void on_storage_reopened(const storage::file_log_storage::recovered_content& content);
     void update_membership();
+    void record_links();
 
     core_identity identity_;
     net::link_hub& hub_;
@@ -110,6 +117,10 @@
     std::uint64_t storage_failures_ = 0;
     bool retired_ = false;
     absl::Time leading_since_ = absl::InfiniteFuture();
+    absl::Time started_at_;
+    /// When this process last had a link to a member while it did not lead, or added it.
+    times_by_name last_linked_at_;
+    times_by_name last_removed_at_; ///< by this process as the leader
     absl::Time next_membership_update_ = absl::InfinitePast();
     std::string last_change_; ///< last attempted change; failed repeats are not logged
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< checked by disk callbacks
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -20,6 +20,11 @@
 constexpr absl::Duration link_tick_interval = absl::Milliseconds(100);
 /// Longest pause between ticks of a core member and of a process outside the core.
 constexpr std::chrono::milliseconds max_core_pause(20);
+/// Time reserved for the change of the voters itself: a lost one must be replaced before its
+/// successor no longer counts as lost, since the next loss may come then.
+constexpr absl::Duration repair_time = absl::Seconds(1);
+/// Lower bound of the time after which a voter is replaced; longer than the restart of a process.
+constexpr absl::Duration min_replace_after = absl::Seconds(2);
 constexpr std::chrono::milliseconds max_front_pause(50);
 
 } // namespace
@@ -44,6 +49,7 @@
     core.seeds = options_.seeds;
     core.first_start = options_.first_start;
     core.wanted_voters = 2 * options_.tolerated_failures + 1;
+    core.replace_after = std::max(options_.catch_up - repair_time, min_replace_after);
     std::string error;
     if (!options_.data_folder.empty())
     {
--- a/savoryreach/dispatch/core_planner.cpp
+++ b/savoryreach/dispatch/core_planner.cpp
@@ -30,64 +30,94 @@
     return out;
 }
 
+/// A linked process that can become a member; null if there is none. One that was removed for its
+/// silence comes last.
+const net::link_peer* find_stand_by(const core_state& state)
+{
+    const net::link_peer* out = nullptr;
+    for (const auto& it : state.linked)
+    {
+        const bool is_member = std::ranges::any_of(state.members.members(), [&it](const auto& m)
+                                                   { return m.name() == it.name; });
+        if (it.can_store && !is_member && !it.address.empty() &&
+            (out == nullptr || state.last_removed_at(it.name) < state.last_removed_at(out->name)))
+        {
+            out = &it;
+        }
+    }
+    return out;
+}
+
 } // namespace
 
+bool core_planner::is_gone(const core_state& state, const schema::keeper_member& member,
+                           absl::Time now) const
+{
+    if (member.name() == state.self)
+    {
+        return false;
+    }
+    if (is_superseded(state, member) && !is_linked(state, member.name()))
+    {
+        return true;
+    }
+    const auto last_sign =
+        std::max(state.last_answer_at(member.name()), state.last_linked_at(member.name()));
+    return now > last_sign + replace_after_ && now > state.leading_since + first_answer_wait;
+}
+
+/// Removes a voter above the wanted number. A voter that is lost but not recognised as such yet
+/// must not stay in the place of a live one.
+std::optional<schema::change_keepers> core_planner::remove_surplus(const core_state& state,
+                                                                   absl::Time now) const
+{
+    const schema::keeper_member* surplus = nullptr;
+    for (const auto& it : state.members.members())
+    {
+        if (it.name() == state.self || !it.voter())
+        {
+            continue;
+        }
+        if (now > state.last_answer_at(it.name()) + recent_answer)
+        {
+            return std::nullopt;
+        }
+        surplus = surplus == nullptr ? &it : surplus;
+    }
+    return surplus == nullptr ? std::nullopt : std::optional(removal(*surplus));
+}
+
 std::optional<schema::change_keepers> core_planner::next(const core_state& state,
                                                          absl::Time now) const
 {
     std::size_t voters = 0;
-    std::size_t healthy = 0;
     const schema::keeper_member* lost = nullptr;
     for (const auto& it : state.members.members())
     {
-        const auto last_answer = std::max(state.last_answer_at(it.name()), state.leading_since);
-        const bool gone = it.name() != state.self &&
-                          ((is_superseded(state, it) && !is_linked(state, it.name())) ||
-                           now > last_answer + replace_after);
         voters += it.voter() ? 1 : 0;
-        healthy += it.voter() && !gone ? 1 : 0;
-        if (gone && (lost == nullptr || !it.voter()))
+        if (is_gone(state, it, now) && (lost == nullptr || !it.voter()))
         {
             lost = &it;
         }
     }
+    const auto* stand_by = find_stand_by(state);
     // A lost learner blocks every other change.
-    if (lost != nullptr && !lost->voter())
+    if (lost != nullptr && (!lost->voter() || voters > wanted_voters_ || stand_by != nullptr))
     {
         return removal(*lost);
     }
-    // Removing a lost voter never leaves the remaining voters without a majority.
-    if (lost != nullptr && voters > wanted_voters_)
+    if (voters > wanted_voters_)
     {
-        return removal(*lost);
+        return remove_surplus(state, now);
     }
-    if (healthy >= wanted_voters_)
+    if (voters == wanted_voters_ || stand_by == nullptr)
     {
-        if (voters > wanted_voters_)
-        {
-            for (const auto& it : state.members.members())
-            {
-                if (it.name() != state.self && it.voter())
-                {
-                    return removal(it);
-                }
-            }
-        }
         return std::nullopt;
     }
-    for (const auto& it : state.linked)
-    {
-        const bool member = std::ranges::any_of(state.members.members(), [&it](const auto& m)
-                                                { return m.name() == it.name; });
-        if (it.can_store && !member && !it.address.empty())
-        {
-            schema::change_keepers out;
-            out.set_name(it.name);
-            out.set_address(it.address);
-            return out;
-        }
-    }
-    return std::nullopt;
+    schema::change_keepers out;
+    out.set_name(stand_by->name);
+    out.set_address(stand_by->address);
+    return out;
 }
 
 } // namespace savoryreach::dispatch
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -134,6 +134,7 @@
         it["faultTolerance"]["machines"] = shape_.tolerated;
         it["bounds"]["holdMaxMs"] = Json::Int64(longest_lease_ms);
         it["bounds"]["graceS"] = 6;
+        it["bounds"]["catchUpS"] = 4;
         it["listenAddrs"]["controlPlane"] = at(control_port);
         if (role == "front")
         {
--- a/tests/soak/deployment_soak_test.cpp
+++ b/tests/soak/deployment_soak_test.cpp
@@ -113,6 +113,12 @@
         const auto ms = std::chrono::duration_cast<milliseconds>(clock::now() - began_).count();
         std::ofstream(folder_ / "faults.log", std::ios::app) << ms << " " << what << "\n";
     }
+    /// The last fault takes as many disks as may be lost at once, so none may be lost before.
+    [[nodiscard]] bool is_any_lost() const
+    {
+        return std::ranges::any_of(lost_until_, [now = clock::now()](const auto& it)
+                                   { return it.second > now; });
+    }
     /// True when \p it may be lost for \p length beside what is lost already; then it is.
     bool may_lose(process& it, milliseconds length)
     {
@@ -626,6 +632,11 @@
             repair(repairs_.begin()->first);
         }
         EXPECT_EQ(wait_until_served(recovery), "") << "not served after the faults";
+        while (is_any_lost())
+        {
+            check_processes();
+            std::this_thread::sleep_for(milliseconds(20));
+        }
         operators_->stop();
         constexpr std::int64_t last_version = 1'000'000;
         EXPECT_TRUE(acknowledge_last(last_version)) << "no change is acknowledged after the faults";
