Hold signals back from the first instruction until their handlers exist

A process of savoryreach-fleet that got SIGHUP, which tells it that its settings have changed, in its first milliseconds ended with signal 1: the signal sets were made after listening and after opening the log with its disk syncs, so that the window was as long as the disk was slow. SIGTERM in that window ended it without a drain. Callers that connected meanwhile waited, since the front listened before the log was open.

SIGHUP, SIGTERM and SIGINT (no others: the platform uses signals of its own) are now blocked from .preinit_array on, before the constructors of the shared libraries; the signal sets are the first objects on the event loop, and the signals are then unblocked: one that came meanwhile is handled. The front listens when its node has started.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -7,6 +7,7 @@
 #include "savoryreach/daemon/fleet_node.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/daemon/metrics_service.hpp"
+#include "savoryreach/daemon/process_setup.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <gflags/gflags.h>
@@ -43,14 +44,28 @@
 
 using settings = platform::settings;
 
+/// The signals that the process handles. Constructed before anything listens or uses a disk, since
+/// that may take long, and since signal sets need descriptors of their own.
+struct process_signals
+{
+    explicit process_signals(boost::asio::io_context& io)
+        : hangup(io, SIGHUP), shutdown(io, SIGTERM, SIGINT)
+    {
+        daemon::deliver_signals();
+    }
+
+    boost::asio::signal_set hangup;
+    boost::asio::signal_set shutdown;
+};
+
 /// Rereads the settings file periodically and on SIGHUP, and calls \p on_change when a setting has
 /// changed.
 class settings_watcher
 {
 public:
-    settings_watcher(boost::asio::io_context& io, std::string path, settings current,
-                     std::function<void(const settings&)> on_change)
-        : timer_(io), hangup_(io, SIGHUP), path_(std::move(path)), current_(std::move(current)),
+    settings_watcher(boost::asio::io_context& io, boost::asio::signal_set& hangup, std::string path,
+                     settings current, std::function<void(const settings&)> on_change)
+        : timer_(io), hangup_(hangup), path_(std::move(path)), current_(std::move(current)),
           on_change_(std::move(on_change))
     {
         wait();
@@ -110,7 +125,7 @@
     }
 
     boost::asio::steady_timer timer_;
-    boost::asio::signal_set hangup_;
+    boost::asio::signal_set& hangup_;
     std::string path_;
     settings current_;
     std::string last_reason_;
@@ -142,24 +157,24 @@
               observe::hybrid_clock& hybrid)
 {
     boost::asio::io_context io(1);
+    process_signals signals(io);
     daemon::fleet_node node(io, clock, hybrid,
                             {absl::StrCat(config.node_name, "/", std::random_device()()), config.ip,
                              absl::StrCat(config.ip, ":", config.internal_port), config.seeds,
                              config.data_folder, config.first_start, config.tolerated_failures});
     platform::front_api api(io, node);
-    if (const auto error =
-            api.listen(config.client_address, config.control_address, config.ready_address))
+    if (const auto error = node.start())
     {
         return start_failed(*error);
     }
-    if (const auto error = node.start())
+    if (const auto error =
+            api.listen(config.client_address, config.control_address, config.ready_address))
     {
         return start_failed(*error);
     }
     const auto metrics = serve_metrics(io, config, node);
-    const settings_watcher watch(io, path, config,
+    const settings_watcher watch(io, signals.hangup, path, config,
                                  [&node](const settings& it) { node.set_seeds(it.seeds); });
-    boost::asio::signal_set shutdown_signals(io, SIGTERM, SIGINT);
     boost::asio::steady_timer timer(io);
     std::chrono::steady_clock::time_point earliest_exit;
     std::chrono::steady_clock::time_point latest_exit;
@@ -186,7 +201,7 @@
                 io.stop();
             });
     };
-    shutdown_signals.async_wait(
+    signals.shutdown.async_wait(
         [&](const boost::system::error_code& ec, int)
         {
             if (ec)
@@ -210,6 +225,7 @@
               observe::hybrid_clock& hybrid)
 {
     boost::asio::io_context io(1);
+    process_signals signals(io);
     daemon::agent_node node(io, clock, hybrid,
                             {config.node_name, config.ip, config.seeds, config.longest_lease,
                              config.heartbeat_interval});
@@ -221,10 +237,9 @@
         return start_failed(*error);
     }
     const auto metrics = serve_metrics(io, config, node);
-    const settings_watcher watch(io, path, config,
+    const settings_watcher watch(io, signals.hangup, path, config,
                                  [&node](const settings& it) { node.set_seeds(it.seeds); });
-    boost::asio::signal_set shutdown_signals(io, SIGTERM, SIGINT);
-    shutdown_signals.async_wait(
+    signals.shutdown.async_wait(
         [&](const boost::system::error_code& ec, int)
         {
             if (!ec)
@@ -272,6 +287,11 @@
 } // namespace
 } // namespace savoryreach
 
+// Runs before the constructors of the shared libraries, which take longer than the rest of a start:
+// only the C library may be used.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const prepare)() = &savoryreach::daemon::prepare_process;
+
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage("front|agent: a process of savoryreach on the platform");
--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -8,4 +8,5 @@
   daemon/http_service.cpp
   daemon/logger.cpp
   daemon/metrics_service.cpp
+  daemon/process_setup.cpp
   daemon/tick_loop.cpp)
