A write that fails no longer ends a process by a signal

When the reader of a front's standard output went away, its next log line ended it (signal 13, SIGPIPE); when its log reached the largest size of a file that the machine allows (RLIMIT_FSIZE, which the platform sets), the next line ended it too (signal 25, SIGXFSZ). Started with closed standard descriptors it used their numbers for its event loop; the next file or socket would have got the log's lines.

Both signals are ignored from the first instruction on: the writes return EPIPE and EFBIG, which the logger takes as it takes a full pipe (the lines are kept up to 512 KB and then counted as dropped) and the log on disk as a refused write. Closed standard descriptors are opened on /dev/null.

Evidence: fleet_output_test, four tests with a real front. Before: status 13, status 25 and descriptors 0 to 2 = eventfd, epoll, timerfd; after: passed. Ruled out: a standard output that nobody reads (a pipe of 4096 bytes, 100 configurations) did not block the front before either; that test stays.

--- a/savoryreach/daemon/process_setup.hpp
+++ b/savoryreach/daemon/process_setup.hpp
@@ -4,8 +4,10 @@
 namespace savoryreach::daemon
 {
 
-/// Holds back SIGHUP, SIGTERM and SIGINT until deliver_signals(). Called before a thread is started
-/// or a file is opened.
+/// Keeps events from outside from ending the process: holds back SIGHUP, SIGTERM and SIGINT until
+/// deliver_signals(), lets writes to a closed pipe or beyond the limit of a file's size fail with
+/// an error instead of a signal, and opens the standard descriptors that are closed. Called before
+/// a thread is started or a file is opened.
 void prepare_process();
 
 /// Delivers the signals that were held back, and later ones at once. Called when their handlers are
--- a/tests/processes/fleet_process_test.cpp
+++ b/tests/processes/fleet_process_test.cpp
@@ -159,5 +159,124 @@
     expect_serving();
 }
 
+/// The same with a standard output of the test's own.
+class fleet_output_test : public fleet_process_test
+{
+protected:
+    ~fleet_output_test() override
+    {
+        if (pid_ > 0)
+        {
+            ::kill(pid_, SIGKILL);
+            ::waitpid(pid_, nullptr, 0);
+        }
+        close_reader();
+        std::filesystem::remove(settings_file_);
+    }
+
+    /// Starts the front by a shell command, which gets its command line as "$@".
+    void start(const std::string& command)
+    {
+        ASSERT_EQ(::pipe2(pipe_.data(), O_CLOEXEC), 0);
+        auto it = settings();
+        it["bootstrap"] = true;
+        std::ofstream(settings_file_) << base::json_line(it);
+        const std::string program = std::string(SAVORYREACH_DAEMONS) + "/savoryreach-fleet";
+        const std::string option = "--settings=" + settings_file_;
+        pid_ = ::fork();
+        if (pid_ == 0)
+        {
+            ::dup2(pipe_[1], STDOUT_FILENO);
+            ::execl("/bin/sh", "sh", "-c", command.c_str(), "sh", program.c_str(), "front",
+                    option.c_str(), nullptr);
+            ::_exit(127);
+        }
+        ::close(pipe_[1]);
+        ASSERT_GT(pid_, 0);
+    }
+    void close_reader()
+    {
+        if (pipe_[0] >= 0)
+        {
+            ::close(pipe_[0]);
+            pipe_[0] = -1;
+        }
+    }
+    /// Expects that the front takes configurations, which each write lines to its log.
+    void expect_serving_changes(int count)
+    {
+        ASSERT_TRUE(wait_until([this] { return is_ready() || has_ended(); }));
+        for (int n = 1; n <= count && !has_ended(); ++n)
+        {
+            const auto body =
+                "{\"version\":" + std::to_string(n) + R"(,"services":[],"routes":[]})";
+            EXPECT_TRUE(wait_until([&] { return apply(body) == 200 || has_ended(); }));
+        }
+        std::this_thread::sleep_for(aftermath);
+        EXPECT_FALSE(has_ended()) << "status " << status_;
+    }
+    [[nodiscard]] int apply(const std::string& body) const
+    {
+        httplib::Client to(ip_, control_port);
+        to.set_read_timeout(2, 0);
+        const auto reply = to.Post("/savoryreach/config/replace", body, "application/json");
+        return reply ? reply->status : 0;
+    }
+    bool has_ended()
+    {
+        if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_)
+        {
+            pid_ = -1;
+        }
+        return pid_ < 0;
+    }
+
+    const std::string settings_file_ = folder_.string() + ".json";
+    std::array<int, 2> pipe_ = {-1, -1};
+    pid_t pid_ = -1;
+    int status_ = 0;
+};
+
+TEST_F(fleet_output_test, reader_of_standard_output_is_gone_front_serves)
+{
+    start("exec \"$@\"");
+    ASSERT_TRUE(wait_until([this] { return is_ready(); }));
+    close_reader();
+    expect_serving_changes(3);
+}
+
+TEST_F(fleet_output_test, standard_output_that_nobody_reads_front_serves)
+{
+    start("exec \"$@\"");
+    ASSERT_GT(::fcntl(pipe_[0], F_SETPIPE_SZ, 4096), 0);
+    expect_serving_changes(100);
+    pollfd it = {pipe_[0], POLLIN, 0};
+    EXPECT_EQ(::poll(&it, 1, 0), 1) << "nothing was written";
+}
+
+TEST_F(fleet_output_test, standard_descriptors_are_closed_front_serves)
+{
+    start("exec \"$@\" <&- >&- 2>&-");
+    expect_serving_changes(3);
+    for (const int it : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+    {
+        const auto path = "/proc/" + std::to_string(pid_) + "/fd/" + std::to_string(it);
+        EXPECT_EQ(std::filesystem::read_symlink(path), "/dev/null");
+    }
+}
+
+TEST_F(fleet_output_test, log_reaches_the_largest_size_of_a_file_front_serves)
+{
+    const auto file = (folder_ / "output").string();
+    start("exec \"$@\" >>" + file);
+    ASSERT_TRUE(wait_until([this] { return is_ready(); }));
+    // The log on disk is smaller than this.
+    constexpr rlim_t largest = 64'000;
+    std::ofstream(file, std::ios::app) << std::string(largest, ' ');
+    const rlimit limit = {largest, largest};
+    ASSERT_EQ(::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr), 0);
+    expect_serving_changes(3);
+}
+
 } // namespace
 } // namespace savoryreach::soak
