Say why a process ends; errors in handlers no longer end it

A failed assertion or another fatal signal left no line either, and the last decisions stayed in the log's buffer.

- An exception while the process starts is `start_failed` with its reason and exit code 1.
- run_loop() records an error in a handler as `handler_raised` (limited per second as all events) and goes on.
Ticks, messages from links, answers and results of the disk are noexcept: an error there may leave the replicated state half changed, and a loop without ticks only seems to run; the process ends and recovers from disk.
Timer and signal waits of the settings are renewed before the file is read, so that an error does not end them.
- `process_ends` with the text of the exception or the signal's number is the last line before a fatal end, with the lines that were still buffered.
Handlers are installed only where the default is in effect; the exit status stays that of the signal.

Evidence: with 4 and 7 descriptors a front ended with signal 6 and with `Bad file descriptor` as reason, now with exit code 1 and `Too many open files`; SIGABRT left no line, now `reason="signal 6"`.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -4,10 +4,12 @@
 #include "platform/settings.hpp"
 #include "savoryreach/base/system_clock.hpp"
 #include "savoryreach/daemon/agent_node.hpp"
+#include "savoryreach/daemon/fatal_errors.hpp"
 #include "savoryreach/daemon/fleet_node.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/daemon/metrics_service.hpp"
 #include "savoryreach/daemon/process_setup.hpp"
+#include "savoryreach/daemon/run_loop.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <gflags/gflags.h>
@@ -16,6 +18,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -81,8 +84,8 @@
             {
                 if (!ec)
                 {
-                    reload();
                     wait();
+                    reload();
                 }
             });
     }
@@ -94,9 +97,9 @@
             {
                 if (!ec)
                 {
+                    wait_for_signal();
                     daemon::log(daemon::log_level::info, "reload", {});
                     reload();
-                    wait_for_signal();
                 }
             });
     }
@@ -217,7 +220,7 @@
             node.begin_drain();
             poll_drain();
         });
-    io.run();
+    daemon::run_loop(io, node.events());
     return 0;
 }
 
@@ -251,7 +254,7 @@
                 io.stop();
             }
         });
-    io.run();
+    daemon::run_loop(io, node.events());
     return 0;
 }
 
@@ -278,8 +281,17 @@
     const base::system_clock clock;
     observe::hybrid_clock hybrid(clock);
     daemon::open_buffered_log(config->node_name, hybrid);
-    const int code = role == "front" ? run_front(*config, path, clock, hybrid)
-                                     : run_agent(*config, path, clock, hybrid);
+    daemon::log_fatal_errors(config->node_name);
+    int code = 0;
+    try
+    {
+        code = role == "front" ? run_front(*config, path, clock, hybrid)
+                               : run_agent(*config, path, clock, hybrid);
+    }
+    catch (const std::exception& exception)
+    {
+        code = start_failed(exception.what());
+    }
     // Exits without waiting for the threads of the log library; durable state is already on disk.
     std::_Exit(code);
 }
--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -133,7 +133,7 @@
     const auto post = [&io, alive, on_change](auto handler)
     {
         boost::asio::post(io,
-                          [alive, on_change, handler = std::move(handler)]
+                          [alive, on_change, handler = std::move(handler)]() noexcept
                           {
                               if (alive.lock())
                               {
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -194,7 +194,7 @@
     hub_->send(base::node_name(peer.name), message);
 }
 
-void fleet_node::on_message(const net::link_peer& from, const schema::envelope& message)
+void fleet_node::on_message(const net::link_peer& from, const schema::envelope& message) noexcept
 {
     switch (message.body_case())
     {
@@ -234,7 +234,7 @@
     schedule_tick();
 }
 
-void fleet_node::on_link_down(const net::link_peer& peer, const std::string& reason)
+void fleet_node::on_link_down(const net::link_peer& peer, const std::string& reason) noexcept
 {
     events_.record("link_lost", {{"peer", peer.name}, {"reason", reason}});
     locator_.on_down(peer.name);
@@ -254,7 +254,8 @@
     if (front == link_name_)
     {
         // Posted, since the dispatcher is still on the call stack.
-        boost::asio::post(io_, [this, answer = std::move(answer)] { requests_.on_answer(answer); });
+        boost::asio::post(io_, [this, answer = std::move(answer)]() noexcept
+                          { requests_.on_answer(answer); });
         return;
     }
     schema::envelope message;
@@ -272,7 +273,7 @@
     if (dispatcher == link_name_)
     {
         boost::asio::post(io_,
-                          [this, request = std::move(request)]
+                          [this, request = std::move(request)]() noexcept
                           {
                               if (is_dispatcher())
                               {
--- a/savoryreach/daemon/fleet_node.hpp
+++ b/savoryreach/daemon/fleet_node.hpp
@@ -69,8 +69,8 @@
 
 private:
     void on_link_up(const net::link_peer& peer);
-    void on_message(const net::link_peer& from, const schema::envelope& message);
-    void on_link_down(const net::link_peer& peer, const std::string& reason);
+    void on_message(const net::link_peer& from, const schema::envelope& message) noexcept;
+    void on_link_down(const net::link_peer& peer, const std::string& reason) noexcept;
     std::chrono::milliseconds tick();
     void update_role();
     void broadcast_core_view();
--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -3,10 +3,12 @@
   daemon/agent_node.cpp
   daemon/core_member.cpp
   daemon/decision_log.cpp
+  daemon/fatal_errors.cpp
   daemon/fleet_node.cpp
   daemon/http_pool.cpp
   daemon/http_service.cpp
   daemon/logger.cpp
   daemon/metrics_service.cpp
   daemon/process_setup.cpp
+  daemon/run_loop.cpp
   daemon/tick_loop.cpp)
--- a/savoryreach/daemon/tick_loop.cpp
+++ b/savoryreach/daemon/tick_loop.cpp
@@ -41,7 +41,7 @@
     flush_log();
 }
 
-void tick_loop::run()
+void tick_loop::run() noexcept
 {
     if (running_)
     {
--- a/savoryreach/daemon/tick_loop.hpp
+++ b/savoryreach/daemon/tick_loop.hpp
@@ -28,7 +28,8 @@
     void stop();
 
 private:
-    void run();
+    /// An error in a tick ends the process: without ticks it would only seem to run.
+    void run() noexcept;
     /// Replaces the pending timer.
     void set_timer();
     [[nodiscard]] std::chrono::steady_clock::time_point next_tick() const
--- a/tests/processes/fleet_process_test.cpp
+++ b/tests/processes/fleet_process_test.cpp
@@ -159,6 +159,23 @@
     expect_serving();
 }
 
+TEST_F(fleet_process_test, fatal_signal_is_logged_before_the_end)
+{
+    front_->start(true);
+    ASSERT_TRUE(wait_until([this] { return is_ready(); }));
+    front_->signal(SIGABRT);
+    std::optional<int> status;
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            status = front_->ended();
+            return status.has_value();
+        }));
+    EXPECT_TRUE(WIFSIGNALED(*status) && WTERMSIG(*status) == SIGABRT) << *status;
+    EXPECT_NE(log().find("process=edge event=process_ends reason=\"signal 6\""), std::string::npos)
+        << log();
+}
+
 /// The same with a standard output of the test's own.
 class fleet_output_test : public fleet_process_test
 {
@@ -237,6 +254,25 @@
     int status_ = 0;
 };
 
+/// Enough to load the program; too few for the event loop, or for the signals.
+class fleet_descriptors_test : public fleet_output_test, public ::testing::WithParamInterface<int>
+{
+};
+
+TEST_P(fleet_descriptors_test, too_few_for_a_start_are_the_logged_reason)
+{
+    const auto file = (folder_ / "output").string();
+    start("exec >>" + file + "; ulimit -n " + std::to_string(GetParam()) + "; exec \"$@\"");
+    ASSERT_TRUE(wait_until([this] { return has_ended(); }));
+    EXPECT_TRUE(WIFEXITED(status_) && WEXITSTATUS(status_) == 1) << status_;
+    std::ostringstream out;
+    out << std::ifstream(file).rdbuf();
+    EXPECT_NE(out.str().find("event=start_failed"), std::string::npos) << out.str();
+    EXPECT_NE(out.str().find("Too many open files"), std::string::npos) << out.str();
+}
+
+INSTANTIATE_TEST_SUITE_P(limits, fleet_descriptors_test, ::testing::Values(4, 7));
+
 TEST_F(fleet_output_test, reader_of_standard_output_is_gone_front_serves)
 {
     start("exec \"$@\"");
