Pause after a failed accept, and say that connections can't be accepted

Seen: a front whose descriptors are used up by its callers uses a core and writes nothing; the operator's service, readiness and the links between processes accept nothing meanwhile, and no line or metric says so.

Cause: http_service, link_hub and tcp_transport accepted again at once after a failed accept. EMFILE leaves the connection in the queue, so the next attempt fails as well.

Failed before, http_service_calls.accept_without_a_descriptor_pauses_and_goes_on: 314,392 event handlers ran in 500 ms, bound 100. After: passes; the connection that waited is accepted when a descriptor is free.

Fix: one listener for the three, which waits 20 ms after a failed accept (short against the operator's 1 s and the dial timeout of 600 ms; 50 attempts a second cost nothing). It reports a failure when its reason changes, and that connections are accepted again after a second without a failure, so that lines stay few while descriptors come and go. Lines accept_failed and accept_recovered; metrics savoryreach_failed_accepts_total{service,reason} and savoryreach_connections{service}.

Ruled out: callers that send nothing or trickle bytes hold a connection beyond the idle and header timeouts. They don't; two new tests, which pass before as well.

--- a/savoryreach/daemon/agent_node.cpp
+++ b/savoryreach/daemon/agent_node.cpp
@@ -137,6 +137,11 @@
         static_cast<double>(agent_->run_count());
     metrics_.gauge_of("savoryreach_endpoint_silent", "1 while the endpoint does not answer") =
         agent_->is_silent() ? 1.0 : 0.0;
+    hub_->write_metrics(metrics_);
+    for (const auto& it : metric_sources_)
+    {
+        it(metrics_);
+    }
     return metrics_.to_text();
 }
 
--- a/savoryreach/daemon/agent_node.hpp
+++ b/savoryreach/daemon/agent_node.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,11 @@
     [[nodiscard]] const base::clock& clock() const { return clock_; }
     [[nodiscard]] observe::event_sink& events() { return events_; }
     [[nodiscard]] std::string metrics_text();
+    /// \p source adds the metrics of a service that outlives the last metrics_text().
+    void add_metrics(std::function<void(observe::metrics&)> source)
+    {
+        metric_sources_.push_back(std::move(source));
+    }
     void schedule_tick() { ticks_.schedule(); }
 
     void send_report(schema::endpoint_report report) override;
@@ -58,6 +64,7 @@
     const base::clock& clock_;
     observe::hybrid_clock& hybrid_;
     observe::metrics metrics_;
+    std::vector<std::function<void(observe::metrics&)>> metric_sources_;
     decision_log events_;
     std::uint64_t process_nonce_; ///< random; distinguishes successive processes on one host
     std::unique_ptr<net::link_hub> hub_;
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/fleet_node.hpp"
 
+#include "savoryreach/daemon/http_service.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/storage/posix_disk.hpp"
 
@@ -63,10 +64,12 @@
             .up = [this](const net::link_peer& it) { on_link_up(it); },
             .received = [this](const net::link_peer& it, const schema::envelope& message)
             { on_message(it, message); },
-            .down =
-                [this](const net::link_peer& it, const std::string& reason)
+            .down = [this](const net::link_peer& it, const std::string& reason)
+            { on_link_down(it, reason); },
+            .accept_failing =
+                [](const std::string& reason)
             {
-                on_link_down(it, reason);
+                log_accept_state("links", reason);
             }},
         clock_, hybrid_);
     if (auto listen_error = hub_->start())
@@ -351,6 +354,11 @@
             counts.cancelled);
     counter("savoryreach_starts_total", "starts ordered", counts.starts);
     counter("savoryreach_failed_runs_total", "runs that ended failed", counts.retried_runs);
+    hub_->write_metrics(metrics_);
+    for (const auto& it : metric_sources_)
+    {
+        it(metrics_);
+    }
     return metrics_.to_text();
 }
 
--- a/savoryreach/daemon/fleet_node.hpp
+++ b/savoryreach/daemon/fleet_node.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,11 @@
     [[nodiscard]] const base::clock& clock() const { return clock_; }
     [[nodiscard]] observe::event_sink& events() { return events_; }
     [[nodiscard]] std::string metrics_text();
+    /// \p source adds the metrics of a service that outlives the last metrics_text().
+    void add_metrics(std::function<void(observe::metrics&)> source)
+    {
+        metric_sources_.push_back(std::move(source));
+    }
     /// Runs tick() after the event handlers that are ready to run.
     void schedule_tick() { ticks_.schedule(); }
 
@@ -82,6 +88,7 @@
     const base::clock& clock_;
     observe::hybrid_clock& hybrid_;
     observe::metrics metrics_;
+    std::vector<std::function<void(observe::metrics&)>> metric_sources_;
     decision_log events_;
     std::string link_name_; ///< of this process
     std::optional<core_identity> identity_;
--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -1,7 +1,6 @@
 #include "savoryreach/daemon/http_service.hpp"
 
 #include "savoryreach/daemon/logger.hpp"
-#include "savoryreach/net/address.hpp"
 
 #include <absl/strings/numbers.h>
 
@@ -172,7 +171,7 @@
         const auto host = message[http::field::host];
         request.host = std::string(host.substr(0, host.rfind(':')));
         std::uint32_t deadline_ms = 0;
-        const auto deadline_text = message[owner_.deadline_header_];
+        const auto deadline_text = message[owner_.options_.deadline_header];
         if (absl::SimpleAtoi(absl::string_view(deadline_text.data(), deadline_text.size()),
                              &deadline_ms))
         {
@@ -272,8 +271,25 @@
     bool closed_ = false;
 };
 
-http_service::http_service(boost::asio::io_context& io, std::string deadline_header, handler serve)
-    : io_(io), deadline_header_(std::move(deadline_header)), serve_(std::move(serve)), acceptor_(io)
+void log_accept_state(const std::string& service, const std::string& reason)
+{
+    if (reason.empty())
+    {
+        log(log_level::info, "accept_recovered", {{"service", service}});
+        return;
+    }
+    log(log_level::error, "accept_failed", {{"service", service}, {"reason", reason}});
+}
+
+http_service::http_service(boost::asio::io_context& io, http_service_options options, handler serve)
+    : options_(std::move(options)), serve_(std::move(serve)),
+      listener_(io, {.accepted = [this](boost::asio::ip::tcp::socket socket)
+                     { on_accepted(std::move(socket)); },
+                     .failing =
+                         [this](const std::string& reason)
+                     {
+                         log_accept_state(options_.name, reason);
+                     }})
 {
 }
 
@@ -281,38 +297,26 @@
 
 std::optional<std::string> http_service::listen(const std::string& address)
 {
-    if (auto error = net::listen_at(acceptor_, address))
-    {
-        return error;
-    }
-    accept();
-    return std::nullopt;
+    return listener_.listen(address);
 }
 
-void http_service::accept()
+void http_service::on_accepted(boost::asio::ip::tcp::socket socket)
 {
-    acceptor_.async_accept(
-        io_,
-        [this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
-        {
-            if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open())
-            {
-                return;
-            }
-            if (!ec)
-            {
-                const auto it = std::make_shared<connection>(std::move(socket), *this);
-                connections_.insert(it);
-                it->read();
-            }
-            accept();
-        });
+    const auto it = std::make_shared<connection>(std::move(socket), *this);
+    connections_.insert(it);
+    it->read();
+}
+
+void http_service::write_metrics(observe::metrics& out) const
+{
+    out.gauge_of("savoryreach_connections", "connections that are open",
+                 {{"service", options_.name}}) = static_cast<double>(connections_.size());
+    listener_.write_metrics(out, options_.name);
 }
 
 void http_service::stop_accepting()
 {
-    boost::system::error_code ec;
-    acceptor_.close(ec);
+    listener_.close();
     const auto connections = connections_;
     for (const auto& it : connections)
     {
@@ -325,8 +329,7 @@
 
 void http_service::stop()
 {
-    boost::system::error_code ec;
-    acceptor_.close(ec);
+    listener_.close();
     const auto connections = connections_;
     for (const auto& it : connections)
     {
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -1,6 +1,9 @@
 #ifndef SAVORYREACH_DAEMON_HTTP_SERVICE_HPP
 #define SAVORYREACH_DAEMON_HTTP_SERVICE_HPP
 
+#include "savoryreach/net/listener.hpp"
+#include "savoryreach/observe/metrics.hpp"
+
 #include <absl/time/time.h>
 
 #include <utility>
@@ -78,6 +81,17 @@
     friend auto operator<=>(const service_limits&, const service_limits&) = default;
 };
 
+struct http_service_options
+{
+    std::string name;            ///< in log lines and metrics
+    std::string deadline_header; ///< has the caller's deadline, in milliseconds from now
+
+    friend bool operator==(const http_service_options&, const http_service_options&) = default;
+};
+
+/// Writes that \p service can't accept connections for \p reason; empty when it can again.
+void log_accept_state(const std::string& service, const std::string& reason);
+
 /// An HTTP/1.1 server on an event loop. It serves many connections on one thread, and each read and
 /// write has a deadline.
 class http_service
@@ -85,9 +99,7 @@
 public:
     using handler = std::function<void(const http_request&, const std::shared_ptr<http_exchange>&)>;
 
-    /// \p deadline_header names the header that carries the caller's deadline, in milliseconds from
-    /// now.
-    http_service(boost::asio::io_context& io, std::string deadline_header, handler serve);
+    http_service(boost::asio::io_context& io, http_service_options options, handler serve);
     ~http_service();
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
@@ -103,17 +115,17 @@
     void stop();
 
     [[nodiscard]] std::size_t open_exchanges() const { return open_exchanges_; }
+    void write_metrics(observe::metrics& out) const;
 
 private:
     class connection;
 
-    void accept();
+    void on_accepted(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::io_context& io_;
-    std::string deadline_header_;
+    http_service_options options_;
     handler serve_;
     service_limits limits_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    net::listener listener_;
     std::set<std::shared_ptr<connection>> connections_;
     bool draining_ = false;
     std::size_t open_exchanges_ = 0;
--- a/savoryreach/daemon/metrics_service.cpp
+++ b/savoryreach/daemon/metrics_service.cpp
@@ -15,7 +15,7 @@
 metrics_service::metrics_service(boost::asio::io_context& io,
                                  std::function<std::string()> make_text)
     : make_text_(std::move(make_text)),
-      service_(io, {},
+      service_(io, {"metrics", ""},
                [this](const http_request& request, const std::shared_ptr<http_exchange>& caller)
                {
                    const bool known = request.method == "GET" && request.path == metrics_path;
--- a/savoryreach/net/link_hub.cpp
+++ b/savoryreach/net/link_hub.cpp
@@ -28,7 +28,14 @@
 link_hub::link_hub(boost::asio::io_context& io, options config, callbacks handlers,
                    const base::clock& clock, observe::hybrid_clock& hybrid)
     : io_(io), options_(std::move(config)), handlers_(std::move(handlers)), clock_(clock),
-      hybrid_(hybrid), acceptor_(io), last_tick_at_(absl::InfiniteFuture()),
+      hybrid_(hybrid), listener_(io, {.accepted = [this](boost::asio::ip::tcp::socket socket)
+                                      { on_accepted(std::move(socket)); },
+                                      .failing =
+                                          [this](const std::string& reason)
+                                      {
+                                          handlers_.accept_failing(reason);
+                                      }}),
+      last_tick_at_(absl::InfiniteFuture()),
       incarnation_(static_cast<std::uint64_t>(absl::ToUnixNanos(clock.wall_now())))
 {
 }
@@ -39,32 +46,15 @@
     {
         return std::nullopt;
     }
-    if (auto error = listen_at(acceptor_, options_.address))
-    {
-        return error;
-    }
-    accept();
-    return std::nullopt;
+    return listener_.listen(options_.address);
 }
 
-void link_hub::accept()
+void link_hub::on_accepted(boost::asio::ip::tcp::socket socket)
 {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
-        {
-            if (ec == boost::asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!ec)
-            {
-                auto it = std::make_shared<link>(std::move(socket), link_callbacks(), clock_);
-                links_.push_back(it);
-                it->start();
-                send_hello(*it);
-            }
-            accept();
-        });
+    auto it = std::make_shared<link>(std::move(socket), link_callbacks(), clock_);
+    links_.push_back(it);
+    it->start();
+    send_hello(*it);
 }
 
 link::callbacks link_hub::link_callbacks()
@@ -275,8 +265,7 @@
 
 void link_hub::stop()
 {
-    boost::system::error_code ec;
-    acceptor_.close(ec);
+    listener_.close();
     wanted_.clear();
     close_all("stopping");
 }
@@ -319,4 +308,12 @@
     return out;
 }
 
+void link_hub::write_metrics(observe::metrics& out) const
+{
+    constexpr const char* service = "links";
+    out.gauge_of("savoryreach_connections", "connections that are open", {{"service", service}}) =
+        static_cast<double>(links_.size());
+    listener_.write_metrics(out, service);
+}
+
 } // namespace savoryreach::net
--- a/savoryreach/net/link_hub.hpp
+++ b/savoryreach/net/link_hub.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_NET_LINK_HUB_HPP
 
 #include "savoryreach/net/link.hpp"
+#include "savoryreach/net/listener.hpp"
 #include "savoryreach/net/transport.hpp"
 #include "savoryreach/observe/hybrid_clock.hpp"
 
@@ -48,6 +49,9 @@
         std::function<void(const link_peer&, const schema::envelope&)> received;
         /// The last link to a peer is closed.
         std::function<void(const link_peer&, const std::string& reason)> down;
+        /// Links can't be accepted for this reason; empty when they are accepted again.
+        std::function<void(const std::string& reason)> accept_failing = [](const std::string&) {
+        };
     };
 
     /// \p hybrid timestamps each outgoing message and advances with incoming timestamps.
@@ -68,6 +72,7 @@
     void want(const std::vector<std::string>& addresses);
     [[nodiscard]] bool is_linked(const std::string& peer) const;
     [[nodiscard]] std::vector<link_peer> peers() const;
+    void write_metrics(observe::metrics& out) const;
 
     /// Interval of heartbeats on an idle link. Four intervals fit into the silence limit.
     static constexpr int heartbeat_interval_ms = 300;
@@ -81,7 +86,7 @@
         absl::Time dial_at;
     };
 
-    void accept();
+    void on_accepted(boost::asio::ip::tcp::socket socket);
     link::callbacks link_callbacks();
     void dial(const std::string& address, wanted_link& wanted);
     void send_hello(link& to);
@@ -96,7 +101,7 @@
     callbacks handlers_;
     const base::clock& clock_;
     observe::hybrid_clock& hybrid_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     std::vector<link_ptr> links_;                      ///< links that are not closed
     absl::btree_map<std::string, wanted_link> wanted_; ///< by address
     absl::flat_hash_map<std::string, std::vector<link_ptr>> links_by_peer_; ///< newest last
--- a/savoryreach/net/sources.cmake
+++ b/savoryreach/net/sources.cmake
@@ -3,6 +3,7 @@
   net/frame.cpp
   net/link.cpp
   net/link_hub.cpp
+  net/listener.cpp
   net/session.cpp
   net/tcp_connection.cpp
   net/tcp_transport.cpp)
--- a/savoryreach/net/tcp_transport.cpp
+++ b/savoryreach/net/tcp_transport.cpp
@@ -28,7 +28,15 @@
 tcp_transport::tcp_transport(tcp_transport_options options, message_handler on_messages,
                              notice_handler on_notice)
     : options_(std::move(options)), on_messages_(std::move(on_messages)),
-      on_notice_(std::move(on_notice)), acceptor_(io_), liveness_timer_(io_)
+      on_notice_(std::move(on_notice)),
+      listener_(io_, {.accepted = [this](tcp::socket socket) { on_accepted(std::move(socket)); },
+                      .failing =
+                          [this](const std::string& reason)
+                      {
+                          on_notice_(reason.empty() ? "accept_recovered" : "accept_failed",
+                                     base::node_name(), reason);
+                      }}),
+      liveness_timer_(io_)
 {
     options_.hello.set_protocol_version(protocol_version);
 }
@@ -42,27 +50,16 @@
 {
     if (!options_.listen.empty())
     {
-        const auto endpoint = parse_address(options_.listen);
-        if (!endpoint)
+        if (!parse_address(options_.listen))
         {
             return base::reason{base::error_kind::out_of_range,
                                 absl::StrCat("not an ip:port: ", options_.listen)};
         }
-        boost::system::error_code ec;
-        acceptor_.open(endpoint->protocol(), ec);
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
-        acceptor_.bind(*endpoint, ec);
-        if (!ec)
+        if (const auto error = listener_.listen(options_.listen))
         {
-            acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+            return base::reason{base::error_kind::unreachable,
+                                absl::StrCat("cannot listen on ", *error)};
         }
-        if (ec)
-        {
-            return base::reason{
-                base::error_kind::unreachable,
-                absl::StrCat("cannot listen on ", options_.listen, ": ", ec.message())};
-        }
-        accept_next();
     }
     schedule_liveness_check();
     thread_ = std::thread([this] { io_.run(); });
@@ -80,8 +77,7 @@
         [this]
         {
             send_outbox();
-            boost::system::error_code ec;
-            acceptor_.close(ec);
+            listener_.close();
             liveness_timer_.cancel();
             // Allows 50 ms for writing the last frames to the sockets.
             auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(50));
@@ -118,25 +114,12 @@
     return {sent_, received_, dropped_, refused_, connections_closed_};
 }
 
-void tcp_transport::accept_next()
+void tcp_transport::on_accepted(tcp::socket socket)
 {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& ec, tcp::socket socket)
-        {
-            if (ec == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!ec)
-            {
-                auto connection = std::make_shared<tcp_connection>(
-                    std::move(socket), static_cast<tcp_connection_listener&>(*this),
-                    options_.hello);
-                connections_.push_back(connection);
-                connection->start_accepted();
-            }
-            accept_next();
-        });
+    auto connection = std::make_shared<tcp_connection>(
+        std::move(socket), static_cast<tcp_connection_listener&>(*this), options_.hello);
+    connections_.push_back(connection);
+    connection->start_accepted();
 }
 
 void tcp_transport::schedule_liveness_check()
--- a/savoryreach/net/tcp_transport.hpp
+++ b/savoryreach/net/tcp_transport.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_NET_TCP_TRANSPORT_HPP
 
 #include "savoryreach/base/error.hpp"
+#include "savoryreach/net/listener.hpp"
 #include "savoryreach/net/tcp_connection.hpp"
 #include "savoryreach/net/transport.hpp"
 
@@ -81,7 +82,7 @@
                            std::vector<schema::envelope> messages) override;
     void connection_closed(tcp_connection& connection, const std::string& reason) override;
 
-    void accept_next();
+    void on_accepted(boost::asio::ip::tcp::socket socket);
     void schedule_liveness_check();
     void send_outbox();
     void send_now(const base::node_name& to, const schema::envelope& message);
@@ -91,7 +92,7 @@
     message_handler on_messages_;
     notice_handler on_notice_;
     boost::asio::io_context io_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     boost::asio::steady_timer liveness_timer_;
     absl::flat_hash_map<base::node_name, peer_state> peers_;   ///< I/O thread only
     std::vector<std::shared_ptr<tcp_connection>> connections_; ///< I/O thread only
--- a/tests/daemon/http_service_test.cpp
+++ b/tests/daemon/http_service_test.cpp
@@ -1,9 +1,12 @@
 #include "savoryreach/base/system_clock.hpp"
 #include "savoryreach/daemon/http_pool.hpp"
 #include "savoryreach/daemon/http_service.hpp"
+#include "savoryreach/net/address.hpp"
+#include "tests/net/no_descriptors.hpp"
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <chrono>
 #include <stdexcept>
 
@@ -46,11 +49,34 @@
         return out;
     }
 
+    /// A connection whose connect has been sent, with \p text if there is room for it.
+    boost::asio::ip::tcp::socket connect(const std::string& text = "")
+    {
+        boost::asio::ip::tcp::socket out(io_, boost::asio::ip::tcp::v4());
+        out.connect(*net::parse_address(address_));
+        out.non_blocking(true);
+        out.send(boost::asio::buffer(text));
+        return out;
+    }
+    std::size_t run(std::chrono::milliseconds time)
+    {
+        io_.restart();
+        return io_.run_for(time);
+    }
+    static bool is_closed(boost::asio::ip::tcp::socket& it)
+    {
+        std::array<char, 1> buf{};
+        boost::system::error_code ec;
+        it.receive(boost::asio::buffer(buf), boost::asio::socket_base::message_peek, ec);
+        return ec && ec != boost::asio::error::would_block;
+    }
+
     boost::asio::io_context io_;
     base::system_clock clock_;
     std::string address_;
     http_service service_{
-        io_, "X-Deadline",
+        io_,
+        {"calls", "X-Deadline"},
         [](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
         {
             if (request.path == "/raise")
@@ -75,5 +101,45 @@
     EXPECT_EQ(served->status, status_ok);
 }
 
+// A front without a free descriptor accepted again at once and used a core.
+TEST_F(http_service_calls, accept_without_a_descriptor_pauses_and_goes_on)
+{
+    boost::asio::ip::tcp::socket waiting(io_, boost::asio::ip::tcp::v4());
+    {
+        const net::no_descriptors lack;
+        waiting.connect(*net::parse_address(address_));
+        constexpr std::size_t few = 100;
+        EXPECT_LT(run(std::chrono::milliseconds(500)), few);
+    }
+    const auto served = call("/ok");
+    ASSERT_TRUE(served);
+    EXPECT_EQ(served->status, status_ok);
+}
+
+TEST_F(http_service_calls, caller_that_sends_nothing_is_closed_after_the_idle_timeout)
+{
+    service_.set_limits({.idle_timeout_ms = 300});
+    auto silent = connect();
+    run(std::chrono::milliseconds(100));
+    EXPECT_FALSE(is_closed(silent));
+    run(std::chrono::milliseconds(600));
+    EXPECT_TRUE(is_closed(silent));
+}
+
+TEST_F(http_service_calls, caller_that_trickles_is_closed_after_the_header_timeout)
+{
+    service_.set_limits({.header_timeout_ms = 300});
+    auto slow = connect("G");
+    boost::system::error_code ec;
+    int sent = 0;
+    for (; sent < 100 && !is_closed(slow); ++sent)
+    {
+        run(std::chrono::milliseconds(20));
+        slow.send(boost::asio::buffer("E", 1), 0, ec);
+    }
+    EXPECT_GT(sent, 5);
+    EXPECT_LT(sent, 50);
+}
+
 } // namespace
 } // namespace savoryreach::daemon
--- a/tests/net/sources.cmake
+++ b/tests/net/sources.cmake
@@ -1,7 +1,8 @@
 # Tests of this folder.
 savoryreach_test(frame_test
   net/frame_test.cpp
-  net/link_hub_test.cpp)
+  net/link_hub_test.cpp
+  net/listener_test.cpp)
 savoryreach_test(tcp_transport_test
   net/tcp_transport_test.cpp)
 savoryreach_test(session_test
