Answer "Expect: 100-continue" before the body is read

Callers saw: a client that announces a body and waits for the interim answer got none, waited for as long as it does (a second in most clients) and only then sent the body. The operator gives a call up after a second and sends it to the next front, where the same happens: a configuration is never acknowledged, or only after the client's deadline, when it is in force without an ack.

Cause: http_service read header and body in one call and never looked at Expect. Ruled out: a lost body; with the body at once, chunked, in single bytes, pipelined, or as HTTP/1.0, the request was read (tests here, passed before).

Evidence: http_callers.client_that_expects_100_continue_gets_it_before_the_body got nothing in 3.0 s before the fix. A body whose length is over the limit is refused with 413 without the interim answer.

--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -128,6 +128,41 @@
     void read_request()
     {
         expire_in(owner_.limits_.header_timeout_ms);
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [self = shared_from_this()](beast::error_code ec, std::size_t)
+                                { self->on_header(ec); });
+    }
+
+    void on_header(beast::error_code ec)
+    {
+        if (ec || parser_->is_done())
+        {
+            on_read(ec);
+            return;
+        }
+        const auto& header = parser_->get();
+        constexpr unsigned first_with_interim_answers = 11;
+        if (header.version() < first_with_interim_answers || buffer_.size() > 0 ||
+            !beast::iequals(header[http::field::expect], "100-continue"))
+        {
+            read_body();
+            return;
+        }
+        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::asio::async_write(stream_, boost::asio::buffer(interim),
+                                 [self = shared_from_this()](beast::error_code failed, std::size_t)
+                                 {
+                                     if (failed)
+                                     {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->read_body();
+                                 });
+    }
+
+    void read_body()
+    {
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code ec, std::size_t)
                          { self->on_read(ec); });
--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,5 +1,6 @@
 savoryreach_test(daemon_test
   daemon/core_member_test.cpp
+  daemon/http_caller_test.cpp
   daemon/http_service_test.cpp
   daemon/settings_test.cpp
   daemon/submission_json_test.cpp)
