Answer a client that has ended its sending side

Callers saw: no answer at all to a configuration, a read or a count when the client shuts its sending side down after the request and waits.

Cause: a read of 0 bytes before the answer was taken for the client's departure; the connection was closed and the exchange given up. A configuration came into force without an ack. The end of the sending side alone does not say so. Now it counts as departure only for an exchange that asks for it. Only jobs do: giving up the other calls saves nothing, since they last 0.9 s at most.

Not changed: a job whose client only ends its sending side is still given up. A FIN is all that shows a client that has left (close, not reset) before the answer is written; without this signal its tasks would run to the end.

Evidence: http_callers.client_that_only_ends_its_sending_side_gets_the_answer got an empty answer before. departure_of_a_client_that_waits_for_a_job_is_told passes before and after (end of sending and reset).

--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -107,6 +107,7 @@
         {
             on_disconnect_ = std::move(callback);
         }
+        [[nodiscard]] bool ends_with_caller() const { return on_disconnect_ != nullptr; }
         void caller_disconnected()
         {
             if (const auto callback = std::move(on_disconnect_))
@@ -238,7 +239,9 @@
         }
     }
 
-    /// Closes the connection when the caller closes its end before the response.
+    /// Closes the connection when the caller leaves before the response. The end of the caller's
+    /// sending side counts as leaving only for an exchange that asks for it: a caller may end that
+    /// side and wait for the response.
     void watch_for_disconnect()
     {
         stream_.socket().async_wait(
@@ -254,7 +257,7 @@
                 const auto n = ::recv(self->stream_.socket().native_handle(), &byte, 1,
                                       MSG_PEEK | MSG_DONTWAIT);
                 const bool broken = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
-                if (n == 0 || broken)
+                if (broken || (n == 0 && self->current_->ends_with_caller()))
                 {
                     self->close();
                 }
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -64,7 +64,8 @@
 
     /// Sends the response. Calls after the first have no effect.
     virtual void respond(http_response response) = 0;
-    /// \p callback is called when the caller closes the connection before the response.
+    /// \p callback is called when the caller closes the connection, or its sending side, before the
+    /// response. Without a callback a caller that has closed its sending side gets the response.
     virtual void on_disconnect(std::function<void()> callback) = 0;
 };
 
--- a/tests/daemon/http_caller_test.cpp
+++ b/tests/daemon/http_caller_test.cpp
@@ -306,6 +306,42 @@
     EXPECT_TRUE(contains(answer, "GET h /a 0.")) << answer;
 }
 
+// The end of a client's sending side alone doesn't say that the client has left.
+TEST_F(http_callers, client_that_only_ends_its_sending_side_gets_the_answer)
+{
+    const auto answer = run(
+        [](raw_caller& caller)
+        {
+            caller.send("POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+            caller.end_sending();
+            return caller.receive_all();
+        });
+    EXPECT_TRUE(contains(answer, "POST h /late 3.")) << answer;
+}
+
+// A job whose client has left is given up, at the end of the client's sending side already.
+TEST_F(http_callers, departure_of_a_client_that_waits_for_a_job_is_told)
+{
+    run(
+        [](raw_caller& caller)
+        {
+            caller.send("POST /late-job HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+            std::this_thread::sleep_for(milliseconds(30));
+            caller.end_sending();
+            return std::string();
+        });
+    EXPECT_EQ(departures_, 1);
+    run(
+        [](raw_caller& caller)
+        {
+            caller.send("POST /late-job HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+            std::this_thread::sleep_for(milliseconds(30));
+            caller.reset();
+            return std::string();
+        });
+    EXPECT_EQ(departures_, 2);
+}
+
 TEST_F(http_callers, target_is_read_without_query)
 {
     EXPECT_TRUE(contains(answer_to("GET /a?b=/c HTTP/1.1\r\nHost: h\r\n\r\n"), "GET h /a 0."));
