Compare hosts without case, and read a target that is a URL

Callers saw: 404 for a queue that is in force when the Host header, or the route, has capital letters; 404 for all calls whose target is a whole URL, as clients with a proxy send it ("GET http://host/path"). Two routes whose hosts differ in case only were accepted, though they are one host.

Cause: hosts were compared byte by byte, and the target was taken for the path. Now http_service hands the host over in lower case, without a port (an IPv6 address in brackets without a port keeps its end), and the router holds the configuration's hosts in lower case. The document that is read back is unchanged.

Evidence: http_callers.host_is_read_without_case_and_port, http_callers.target_that_is_a_url_names_host_and_path and router.host_of_the_configuration_is_found_in_lower_case failed before. RFC 9110 4.2.3 and RFC 9112 3.2.2.

--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -3,13 +3,17 @@
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/net/address.hpp"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
+#include <string_view>
 
 namespace savoryreach::daemon
 {
@@ -17,6 +21,32 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// Sets host and path from the target, "/path?query" or "http://host:port/path?query", and the
+/// Host header, which a host in the target replaces.
+void set_address(std::string_view target, std::string_view host, http_request& out)
+{
+    constexpr std::string_view scheme = "http://";
+    if (absl::EqualsIgnoreCase(std::string(target.substr(0, scheme.size())), scheme.data()))
+    {
+        target.remove_prefix(scheme.size());
+        const auto path_at = std::min(target.find_first_of("/?"), target.size());
+        host = target.substr(0, path_at);
+        target.remove_prefix(path_at);
+    }
+    const auto path = target.substr(0, target.find('?'));
+    out.path = path.empty() ? "/" : std::string(path);
+    const auto colon = host.rfind(':');
+    const auto is_port = colon != std::string_view::npos &&
+                         host.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
+    out.host = std::string(is_port ? host.substr(0, colon) : host);
+    absl::AsciiStrToLower(&out.host);
+}
+
+} // namespace
+
 class http_service::connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -204,9 +234,8 @@
         http_request request;
         request.method = std::string(message.method_string());
         const auto target = message.target();
-        request.path = std::string(target.substr(0, target.find('?')));
         const auto host = message[http::field::host];
-        request.host = std::string(host.substr(0, host.rfind(':')));
+        set_address({target.data(), target.size()}, {host.data(), host.size()}, request);
         std::uint32_t deadline_ms = 0;
         const auto deadline_text = message[owner_.deadline_header_];
         if (absl::SimpleAtoi(absl::string_view(deadline_text.data(), deadline_text.size()),
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -39,7 +39,7 @@
 {
     std::string method;
     std::string path; ///< without a query
-    std::string host; ///< of the Host header, without a port
+    std::string host; ///< in lower case, without a port
     std::string body;
     std::optional<std::uint32_t> deadline_ms; ///< how long the caller waits
 
--- a/savoryreach/dispatch/queue_router.cpp
+++ b/savoryreach/dispatch/queue_router.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/dispatch/queue_router.hpp"
 
+#include <absl/strings/ascii.h>
+
 #include <algorithm>
 
 namespace savoryreach::dispatch
@@ -10,7 +12,9 @@
     by_host_.clear();
     for (const auto& it : config.queues())
     {
-        by_host_[it.host()].push_back(it);
+        const auto host = absl::AsciiStrToLower(it.host());
+        auto& added = by_host_[host].emplace_back(it);
+        added.set_host(host);
     }
     for (auto& [host, queues] : by_host_)
     {
--- a/savoryreach/dispatch/queue_router.hpp
+++ b/savoryreach/dispatch/queue_router.hpp
@@ -18,7 +18,7 @@
 public:
     void load(const schema::fleet_config& config);
 
-    /// Null when no queue matches the request.
+    /// \p host in lower case. Null when no queue matches the request.
     [[nodiscard]] const schema::queue_config* find(const std::string& host,
                                                    std::string_view path) const;
 
--- a/tests/daemon/http_caller_test.cpp
+++ b/tests/daemon/http_caller_test.cpp
@@ -342,10 +342,30 @@
     EXPECT_EQ(departures_, 2);
 }
 
+TEST_F(http_callers, host_is_read_without_case_and_port)
+{
+    for (const char* host : {"nony24.example", "Nony24.Example", "NONY24.example:8080"})
+    {
+        const auto answer = answer_to("GET /a HTTP/1.1\r\nhOsT: " + std::string(host) + "\r\n\r\n");
+        EXPECT_TRUE(contains(answer, "GET nony24.example /a 0.")) << answer;
+    }
+    EXPECT_TRUE(contains(answer_to("GET /a HTTP/1.1\r\nHost: [::1]\r\n\r\n"), "GET [::1] /a 0."));
+    EXPECT_TRUE(contains(answer_to("GET /a HTTP/1.1\r\n\r\n"), "GET  /a 0."));
+}
+
 TEST_F(http_callers, target_is_read_without_query)
 {
     EXPECT_TRUE(contains(answer_to("GET /a?b=/c HTTP/1.1\r\nHost: h\r\n\r\n"), "GET h /a 0."));
 }
 
+// A server accepts a whole URL as the target, whose host then replaces the header (RFC
+// 9112, 3.2.2).
+TEST_F(http_callers, target_that_is_a_url_names_host_and_path)
+{
+    EXPECT_TRUE(
+        contains(answer_to("GET http://H:81/a?b HTTP/1.1\r\nHost: other\r\n\r\n"), "GET h /a 0."));
+    EXPECT_TRUE(contains(answer_to("GET http://h HTTP/1.1\r\nHost: h\r\n\r\n"), "GET h / 0."));
+}
+
 } // namespace
 } // namespace savoryreach::daemon
--- a/tests/dispatch/core_test.cpp
+++ b/tests/dispatch/core_test.cpp
@@ -555,6 +555,18 @@
     EXPECT_EQ(router_.find("h", "/a/1")->name(), "/a/");
 }
 
+// Hosts are compared without case; http_service hands them over in lower case.
+TEST_F(router, host_of_the_configuration_is_found_in_lower_case)
+{
+    schema::fleet_config config;
+    auto& queue = *config.add_queues();
+    queue.set_host("Nony24.Example");
+    queue.set_path_prefix("/a");
+    router_.load(config);
+    ASSERT_NE(router_.find("nony24.example", "/a"), nullptr);
+    EXPECT_EQ(router_.find("nony24.example", "/a")->host(), "nony24.example");
+}
+
 TEST_F(router, other_host_has_no_queue)
 {
     EXPECT_EQ(router_.find("g", "/a/1"), nullptr);
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -134,6 +134,15 @@
     }
 }
 
+// Hosts are compared without case (RFC 9110, 4.2.3).
+TEST_F(config_document, two_routes_whose_hosts_differ_in_case_are_refused)
+{
+    EXPECT_FALSE(
+        is_valid(config("7", route("h", "/a/", "s1", 1500) + "," + route("H", "/a/", "s1", 900))));
+    EXPECT_TRUE(
+        is_valid(config("7", route("h", "/a/", "s1", 1500) + "," + route("h", "/A/", "s1", 900))));
+}
+
 class job_body : public ::testing::Test
 {
 protected:
