Refuse a configuration that is not JSON to the letter

Callers saw: invalid configurations acknowledged and put in force. Taken were a comma before the end of a list or object, comments, a byte order mark, control characters (also NUL) in strings, numbers such as 01500, +1500, 1500., 1.e0 and "-", a name that occurs twice in an object (the last one was obeyed), limits or other documented fields of another type. As the document is read back as it was sent, a read then returned text that the operator's own reader refuses.

Cause: JsonCpp 1.9.5 takes all of this; "allowTrailingCommas" and "skipBom" are on by default, and "allowComments" off does not refuse comments inside the root. This holds for configurations only: settings files, heartbeats and workers' answers are read as before. Still accepted: unknown fields, omitted optional fields.

Ruled out: texts cut short at every byte, bytes after the end, single quotes, NaN, unknown services, equal routes, and all wrong types and ranges of version and timeoutMs were refused before.

Evidence: config_document.text_that_is_not_json_is_refused, name_that_occurs_twice_in_an_object_is_refused and field_of_another_type_is_refused failed before.

--- a/savoryreach/base/json_reader.cpp
+++ b/savoryreach/base/json_reader.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/locale/utf.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <iterator>
 #include <memory>
 #include <string_view>
 
@@ -81,8 +83,105 @@
     return true;
 }
 
+/// Length of the JSON number at the start of \p text; 0 when there is none.
+std::size_t number_size(std::string_view text)
+{
+    std::size_t n = 0;
+    const auto at = [&](std::string_view any)
+    {
+        return n < text.size() && any.find(text[n]) != std::string_view::npos;
+    };
+    const auto skip_digits = [&]
+    {
+        const auto begin = n;
+        n = std::min(text.find_first_not_of("0123456789", n), text.size());
+        return n > begin;
+    };
+    n += at("-") ? 1 : 0;
+    if (at("0"))
+    {
+        ++n;
+    }
+    else if (!skip_digits())
+    {
+        return 0;
+    }
+    if (at("."))
+    {
+        ++n;
+        if (!skip_digits())
+        {
+            return 0;
+        }
+    }
+    if (at("eE"))
+    {
+        ++n;
+        n += at("+-") ? 1 : 0;
+        if (!skip_digits())
+        {
+            return 0;
+        }
+    }
+    return n;
+}
+
+/// Length of the JSON string at the start of \p text; 0 when there is none.
+std::size_t string_size(std::string_view text)
+{
+    constexpr unsigned char first_printable = 0x20;
+    for (std::size_t n = 1; n < text.size(); ++n)
+    {
+        if (text[n] == '"')
+        {
+            return n + 1;
+        }
+        if (static_cast<unsigned char>(text[n]) < first_printable)
+        {
+            return 0;
+        }
+        n += text[n] == '\\' ? 1 : 0;
+    }
+    return 0;
+}
+
 } // namespace
 
+bool has_json_tokens(std::string_view text)
+{
+    while (!text.empty())
+    {
+        std::size_t n = 1;
+        if (text.front() == '"')
+        {
+            n = string_size(text);
+        }
+        else if (text.front() == '-' || (text.front() >= '0' && text.front() <= '9'))
+        {
+            n = number_size(text);
+            // Two tokens without a separator, such as the digits after a leading 0.
+            const auto next = text.substr(n);
+            n = next.empty() ||
+                        std::string_view(",]} \t\r\n").find(next.front()) != std::string_view::npos
+                    ? n
+                    : 0;
+        }
+        else if (std::string_view("{}[],: \t\r\n").find(text.front()) == std::string_view::npos)
+        {
+            constexpr std::string_view words[] = {"true", "false", "null"};
+            const auto* const word =
+                std::ranges::find_if(words, [&](auto it) { return text.starts_with(it); });
+            n = word == std::end(words) ? 0 : word->size();
+        }
+        if (n == 0)
+        {
+            return false;
+        }
+        text.remove_prefix(n);
+    }
+    return true;
+}
+
 std::optional<Json::Value> read_json(const Json::CharReaderBuilder& rules, const std::string& text,
                                      std::string& error)
 {
--- a/savoryreach/base/json_reader.hpp
+++ b/savoryreach/base/json_reader.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace savoryreach::base
 {
@@ -16,6 +17,11 @@
 [[nodiscard]] std::optional<Json::Value> read_json(const Json::CharReaderBuilder& rules,
                                                    const std::string& text, std::string& error);
 
+/// True when numbers, strings and words in \p text have the form of RFC 8259, and nothing but
+/// separators is between them. JsonCpp itself takes comments, control characters in strings and
+/// numbers such as "01", "1." or "-".
+[[nodiscard]] bool has_json_tokens(std::string_view text);
+
 } // namespace savoryreach::base
 
 #endif
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -134,6 +134,129 @@
     }
 }
 
+// What a lenient reader takes, and RFC 8259 does not allow.
+TEST_F(config_document, text_that_is_not_json_is_refused)
+{
+    const auto whole = config("7", route("h", "/a/", "s1", 1500));
+    const auto with = [&](const std::string& from, const std::string& to)
+    {
+        auto out = whole;
+        return out.replace(out.find(from), from.size(), to);
+    };
+    EXPECT_TRUE(is_valid(" \t\r\n" + whole + " \n")) << error_;
+    for (const auto& body : {whole + "x",
+                             whole + whole,
+                             whole + ",",
+                             whole + std::string(1, '\0'),
+                             "\xef\xbb\xbf" + whole,
+                             "[" + whole + "]",
+                             with("\"s1\"", "'s1'"),
+                             with("\"version\"", "version"),
+                             with("{", "{/* comment */"),
+                             whole + "// comment",
+                             with("{", "{,"),
+                             with("1500", "1500,"),
+                             with("1.6}", "1.6,}"),
+                             with("}]", "},]"),
+                             with("\"enforceCapacity\":false", "\"enforceCapacity\":false,"),
+                             with("1500", "01500"),
+                             with("1500", "+1500"),
+                             with("1500", "1500."),
+                             with("1.6", "1.e0"),
+                             with("1.6", ".6"),
+                             with("1.6", "1e"),
+                             with("1.6", "NaN"),
+                             with("1.6", "Infinity"),
+                             with("1.6", "-Infinity"),
+                             with("1.6", "-"),
+                             with("1.6", "0x10"),
+                             with("false", "False"),
+                             with("\"h\"", "\"h\n\""),
+                             with("\"h\"", "\"h\x01\""),
+                             with("\"h\"", std::string("\"h\0\"", 4)),
+                             with("\"h\"", "\"h\\x\""),
+                             with("\"h\"", "\"h\\u12g4\"")})
+    {
+        EXPECT_FALSE(is_valid(body)) << body;
+    }
+}
+
+// One reader takes the first, another one the last of them: there is no one content to obey.
+TEST_F(config_document, name_that_occurs_twice_in_an_object_is_refused)
+{
+    const auto whole = config("7", route("h", "/a/", "s1", 1500));
+    for (const auto* name : {R"("version":7)", R"("timeoutMs":1500)", R"("enforceCapacity":false)"})
+    {
+        auto body = whole;
+        body.insert(body.find(name), std::string(name) + ",");
+        EXPECT_FALSE(is_valid(body)) << body;
+    }
+}
+
+TEST_F(config_document, number_out_of_range_is_refused)
+{
+    for (const char* text : {"0", "-1", "1.5", "\"1500\"", "true", "null", "[]", "{}", "3000000000",
+                             "99999999999999999999"})
+    {
+        auto odd = route("h", "/a/", "s1", 1500);
+        odd.replace(odd.find("1500"), 4, text);
+        EXPECT_FALSE(is_valid(config("7", odd))) << text;
+    }
+    for (const char* text : {"0", "-7", "7.5", "\"7\"", "true", "null", "[7]",
+                             "9223372036854775808", "18446744073709551616"})
+    {
+        EXPECT_FALSE(is_valid(config(text, route("h", "/a/", "s1", 1500)))) << text;
+    }
+    EXPECT_TRUE(is_valid(config("9007199254740993", route("h", "/a/", "s1", 1500)))) << error_;
+}
+
+TEST_F(config_document, field_of_another_type_is_refused)
+{
+    const auto whole =
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"idempotent",)"
+        R"("timeoutMs":9,"targetRuntimeMs":6,"priority":1,"service":"s1","maxAttempts":3,)"
+        R"("slackFactor":1.6}],"services":[{"name":"s1","healthPath":"/z","maxConns":64,)"
+        R"("protocol":"h1","tls":false,"enforceCapacity":false,"standby":false}],)"
+        R"("limits":{"maxHeaderBytes":1,"maxBodyBytes":2,"headerTimeoutMs":3,"idleTimeoutMs":4}})";
+    ASSERT_TRUE(is_valid(whole)) << error_;
+    const std::string text = whole;
+    for (auto at = text.find("\":"); at != std::string::npos; at = text.find("\":", at + 1))
+    {
+        // No field is a list of numbers.
+        const auto begin = at + 2;
+        const auto end =
+            text[begin] == '[' || text[begin] == '{' ? begin : text.find_first_of(",}", begin);
+        const auto odd = end == begin ? text.substr(0, begin) + "[1],\"x\":" + text.substr(begin)
+                                      : text.substr(0, begin) + "[1]" + text.substr(end);
+        EXPECT_FALSE(is_valid(odd)) << odd;
+    }
+}
+
+TEST_F(config_document, fields_that_are_unknown_or_omitted_are_accepted)
+{
+    EXPECT_TRUE(is_valid(R"({"version":7,"new":{"a":[1]},"routes":[{"name":"r","host":"h",)"
+                         R"("pathPrefix":"/a/","timeoutMs":9,"service":"s1","new":null}],)"
+                         R"("services":[{"name":"s1","new":1}]})"))
+        << error_;
+    EXPECT_TRUE(is_valid(R"({"version":7,"routes":[],"services":[],"limits":{}})")) << error_;
+}
+
+TEST_F(config_document, missing_field_that_names_something_is_refused)
+{
+    for (const auto* name : {R"("host":"h",)", R"("pathPrefix":"/a/",)", R"("timeoutMs":1500,)",
+                             R"("service":"s1",)", R"("name":"r",)"})
+    {
+        auto odd = route("h", "/a/", "s1", 1500);
+        odd.erase(odd.find(name), std::string(name).size());
+        EXPECT_FALSE(is_valid(config("7", odd))) << name;
+    }
+    for (const auto* body : {R"({"version":7,"routes":[]})", R"({"version":7,"services":[]})",
+                             R"({"routes":[],"services":[]})", "{}", "[]", "null", "7", ""})
+    {
+        EXPECT_FALSE(is_valid(body)) << body;
+    }
+}
+
 // Hosts are compared without case (RFC 9110, 4.2.3).
 TEST_F(config_document, two_routes_whose_hosts_differ_in_case_are_refused)
 {
