--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -2,13 +2,17 @@
 
 #include "savoryreach/daemon/logger.hpp"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
+#include <string_view>
 
 namespace savoryreach::daemon
 {
@@ -16,6 +20,32 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// Sets host and path from the target, "/path?query" or "http://host:port/path?query", and the
+/// Host header, which a host in the target replaces.
+void set_address(std::string_view target, std::string_view host, http_request& out)
+{
+    constexpr std::string_view scheme = "http://";
+    if (absl::EqualsIgnoreCase(std::string(target.substr(0, scheme.size())), scheme.data()))
+    {
+        target.remove_prefix(scheme.size());
+        const auto path_at = std::min(target.find_first_of("/?"), target.size());
+        host = target.substr(0, path_at);
+        target.remove_prefix(path_at);
+    }
+    const auto path = target.substr(0, target.find('?'));
+    out.path = path.empty() ? "/" : std::string(path);
+    const auto colon = host.rfind(':');
+    const auto is_port = colon != std::string_view::npos &&
+                         host.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
+    out.host = std::string(is_port ? host.substr(0, colon) : host);
+    absl::AsciiStrToLower(&out.host);
+}
+
+} // namespace
+
 class http_service::connection : public std::enable_shared_from_this<connection>
 {
 public:
@@ -106,6 +136,7 @@
         {
             on_disconnect_ = std::move(callback);
         }
+        [[nodiscard]] bool ends_with_caller() const { return on_disconnect_ != nullptr; }
         void caller_disconnected()
         {
             if (const auto callback = std::move(on_disconnect_))
@@ -127,6 +158,41 @@
     void read_request()
     {
         expire_in(owner_.limits_.header_timeout_ms);
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [self = shared_from_this()](beast::error_code ec, std::size_t)
+                                { self->on_header(ec); });
+    }
+
+    void on_header(beast::error_code ec)
+    {
+        if (ec || parser_->is_done())
+        {
+            on_read(ec);
+            return;
+        }
+        const auto& header = parser_->get();
+        constexpr unsigned first_with_interim_answers = 11;
+        if (header.version() < first_with_interim_answers || buffer_.size() > 0 ||
+            !beast::iequals(header[http::field::expect], "100-continue"))
+        {
+            read_body();
+            return;
+        }
+        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::asio::async_write(stream_, boost::asio::buffer(interim),
+                                 [self = shared_from_this()](beast::error_code failed, std::size_t)
+                                 {
+                                     if (failed)
+                                     {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->read_body();
+                                 });
+    }
+
+    void read_body()
+    {
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code ec, std::size_t)
                          { self->on_read(ec); });
@@ -167,9 +233,8 @@
         http_request request;
         request.method = std::string(message.method_string());
         const auto target = message.target();
-        request.path = std::string(target.substr(0, target.find('?')));
         const auto host = message[http::field::host];
-        request.host = std::string(host.substr(0, host.rfind(':')));
+        set_address({target.data(), target.size()}, {host.data(), host.size()}, request);
         std::uint32_t deadline_ms = 0;
         const auto deadline_text = message[owner_.options_.deadline_header];
         if (absl::SimpleAtoi(absl::string_view(deadline_text.data(), deadline_text.size()),
@@ -202,7 +267,9 @@
         }
     }
 
-    /// Closes the connection when the caller closes its end before the response.
+    /// Closes the connection when the caller leaves before the response. The end of the caller's
+    /// sending side counts as leaving only for an exchange that asks for it: a caller may end that
+    /// side and wait for the response.
     void watch_for_disconnect()
     {
         stream_.socket().async_wait(
@@ -218,7 +285,7 @@
                 const auto n = ::recv(self->stream_.socket().native_handle(), &byte, 1,
                                       MSG_PEEK | MSG_DONTWAIT);
                 const bool broken = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
-                if (n == 0 || broken)
+                if (broken || (n == 0 && self->current_->ends_with_caller()))
                 {
                     self->close();
                 }
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -42,7 +42,7 @@
 {
     std::string method;
     std::string path; ///< without a query
-    std::string host; ///< of the Host header, without a port
+    std::string host; ///< in lower case, without a port
     std::string body;
     std::optional<std::uint32_t> deadline_ms; ///< how long the caller waits
 
@@ -67,7 +67,8 @@
 
     /// Sends the response. Calls after the first have no effect.
     virtual void respond(http_response response) = 0;
-    /// \p callback is called when the caller closes the connection before the response.
+    /// \p callback is called when the caller closes the connection, or its sending side, before the
+    /// response. Without a callback a caller that has closed its sending side gets the response.
     virtual void on_disconnect(std::function<void()> callback) = 0;
 };
 
--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,6 +1,7 @@
 savoryreach_test(daemon_test
   daemon/core_member_test.cpp
   daemon/fatal_errors_test.cpp
+  daemon/http_caller_test.cpp
   daemon/http_service_test.cpp
   daemon/run_loop_test.cpp
   daemon/settings_test.cpp
