Soak: signal a process only once its first instruction has run

A SIGHUP between fork and the program's first instruction ends any program; no change of the product can help it. The soak now waits until the kernel shows SIGHUP blocked or caught, then sends the first one at once and four more as before.

--- a/tests/soak/deployment_soak_test.cpp
+++ b/tests/soak/deployment_soak_test.cpp
@@ -256,6 +256,12 @@
         it.kill();
         ending_.erase(&it);
         it.start(false);
+        const auto end = clock::now() + milliseconds(1000);
+        while (!it.takes_hangup() && clock::now() < end)
+        {
+            std::this_thread::yield();
+        }
+        it.signal(SIGHUP);
         for (int n = 0; n < 4; ++n)
         {
             later(milliseconds(1 + draw(60)), [&it] { it.signal(SIGHUP); });
--- a/tests/soak/fleet_process.hpp
+++ b/tests/soak/fleet_process.hpp
@@ -85,6 +85,25 @@
             ::kill(pid_, number);
         }
     }
+    /// True once the program holds SIGHUP back or handles it. Before its first instruction, while
+    /// the system loads it, a signal ends any program.
+    [[nodiscard]] bool takes_hangup() const
+    {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string line; std::getline(status, line);)
+        {
+            if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:"))
+            {
+                constexpr int base = 16;
+                const auto mask = std::stoull(line.substr(line.find('\t') + 1), nullptr, base);
+                if ((mask >> (SIGHUP - 1) & 1U) != 0)
+                {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
     void kill()
     {
         signal(SIGKILL);
