Bound the connections of each service, so that callers leave descriptors for the rest

Seen: clients that hold more connections than a front has descriptors shut the operator out. No configuration is acknowledged and none is read at that front meanwhile; callers who come later are not served either. The links between processes and the log of the core share the same descriptors.

Cause: http_service accepted without a bound, so the service for clients took all descriptors of the process.

Fix: a service has a bound. That of callers is the process's limit of descriptors, read at each accept, without a named reserve of 560 (200 that the platform keeps for files outside the data folder, links 256, control 32, own 32, log 16, readiness 16, metrics 8), a quarter at least; a limit above 4,096, which the platform gives its smallest processes, is not relied on. At the bound a new connection closes the one that is idle longest, then the incomplete request that began first; requests that are being served are never cut, and if there are only those the new connection is closed. The decision is connection_slots, without I/O.

A connection that was closed while its complete read waited in the event loop was still served; now it is not.

Lines connections_full and connections_free (below 90% again); metrics savoryreach_connections_limit, savoryreach_connections_closed_total, savoryreach_descriptors and savoryreach_descriptors_limit.

--- a/savoryreach/daemon/agent_node.cpp
+++ b/savoryreach/daemon/agent_node.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/agent_node.hpp"
 
+#include "savoryreach/daemon/descriptor_budget.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/dispatch/dispatcher.hpp"
 
@@ -137,6 +138,7 @@
         static_cast<double>(agent_->run_count());
     metrics_.gauge_of("savoryreach_endpoint_silent", "1 while the endpoint does not answer") =
         agent_->is_silent() ? 1.0 : 0.0;
+    write_descriptor_metrics(metrics_);
     hub_->write_metrics(metrics_);
     for (const auto& it : metric_sources_)
     {
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/fleet_node.hpp"
 
+#include "savoryreach/daemon/descriptor_budget.hpp"
 #include "savoryreach/daemon/http_service.hpp"
 #include "savoryreach/daemon/logger.hpp"
 #include "savoryreach/storage/posix_disk.hpp"
@@ -354,6 +355,7 @@
             counts.cancelled);
     counter("savoryreach_starts_total", "starts ordered", counts.starts);
     counter("savoryreach_failed_runs_total", "runs that ended failed", counts.retried_runs);
+    write_descriptor_metrics(metrics_);
     hub_->write_metrics(metrics_);
     for (const auto& it : metric_sources_)
     {
--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -2,7 +2,9 @@
 target_sources(savoryreach PRIVATE
   daemon/agent_node.cpp
   daemon/core_member.cpp
+  daemon/connection_slots.cpp
   daemon/decision_log.cpp
+  daemon/descriptor_budget.cpp
   daemon/fleet_node.cpp
   daemon/http_pool.cpp
   daemon/http_service.cpp
--- a/savoryreach/daemon/http_service.cpp
+++ b/savoryreach/daemon/http_service.cpp
@@ -1,5 +1,6 @@
 #include "savoryreach/daemon/http_service.hpp"
 
+#include "savoryreach/daemon/descriptor_budget.hpp"
 #include "savoryreach/daemon/logger.hpp"
 
 #include <absl/strings/numbers.h>
@@ -16,11 +17,19 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// Part of its limit below which a service that was full counts as free again, in percent.
+constexpr std::size_t free_percent = 90;
+
+} // namespace
+
 class http_service::connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(boost::asio::ip::tcp::socket socket, http_service& owner)
-        : stream_(std::move(socket)), owner_(owner)
+    connection(connection_slots::id id, boost::asio::ip::tcp::socket socket, http_service& owner)
+        : id_(id), stream_(std::move(socket)), owner_(owner)
     {
         boost::system::error_code ec;
         stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
@@ -37,12 +46,13 @@
             return;
         }
         idle_ = true;
+        owner_.slots_.set_idle(id_);
         // The deadline of a request starts with its first byte.
         expire_in(owner_.limits_.idle_timeout_ms);
         stream_.async_read_some(buffer_.prepare(read_bytes),
                                 [self = shared_from_this()](beast::error_code ec, std::size_t n)
                                 {
-                                    if (ec)
+                                    if (ec || self->closed_)
                                     {
                                         self->close();
                                         return;
@@ -68,7 +78,7 @@
         {
             current_->caller_disconnected();
         }
-        owner_.connections_.erase(shared_from_this());
+        owner_.on_closed(id_);
     }
 
 private:
@@ -126,6 +136,7 @@
 
     void read_request()
     {
+        owner_.slots_.set_reading(id_);
         expire_in(owner_.limits_.header_timeout_ms);
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](beast::error_code ec, std::size_t)
@@ -134,6 +145,11 @@
 
     void on_read(beast::error_code ec)
     {
+        if (closed_)
+        {
+            return;
+        }
+        owner_.slots_.set_serving(id_);
         if (ec == http::error::body_limit || ec == http::error::header_limit)
         {
             keep_alive_ = false;
@@ -260,6 +276,7 @@
         close();
     }
 
+    const connection_slots::id id_;
     beast::tcp_stream stream_;
     http_service& owner_;
     beast::flat_buffer buffer_;
@@ -289,7 +306,8 @@
                          [this](const std::string& reason)
                      {
                          log_accept_state(options_.name, reason);
-                     }})
+                     }}),
+      max_connections_([] { return max_caller_connections(descriptor_limit()); })
 {
 }
 
@@ -302,15 +320,62 @@
 
 void http_service::on_accepted(boost::asio::ip::tcp::socket socket)
 {
-    const auto it = std::make_shared<connection>(std::move(socket), *this);
-    connections_.insert(it);
-    it->read();
+    const auto addition = slots_.add(max_connections_());
+    const auto it = std::make_shared<connection>(addition.added, std::move(socket), *this);
+    connections_[addition.added] = it;
+    if (!addition.to_close.empty())
+    {
+        close_for_room(addition.to_close);
+    }
+    if (connections_.contains(addition.added))
+    {
+        it->read();
+    }
+}
+
+void http_service::close_for_room(const std::vector<connection_slots::id>& closed)
+{
+    if (!full_)
+    {
+        full_ = true;
+        log(log_level::warning, "connections_full",
+            {{"service", options_.name}, {"limit", std::to_string(max_connections_())}});
+    }
+    for (const auto id : closed)
+    {
+        const auto it = connections_.at(id);
+        it->close();
+    }
+}
+
+void http_service::on_closed(connection_slots::id it)
+{
+    slots_.remove(it);
+    connections_.erase(it);
+    if (full_ && connections_.size() < max_connections_() * free_percent / 100)
+    {
+        full_ = false;
+        log(log_level::info, "connections_free",
+            {{"service", options_.name},
+             {"closed", std::to_string(slots_.closed_for_room())},
+             {"refused", std::to_string(slots_.refused())}});
+    }
 }
 
 void http_service::write_metrics(observe::metrics& out) const
 {
     out.gauge_of("savoryreach_connections", "connections that are open",
                  {{"service", options_.name}}) = static_cast<double>(connections_.size());
+    out.gauge_of("savoryreach_connections_limit", "connections that may be open",
+                 {{"service", options_.name}}) = static_cast<double>(max_connections_());
+    const auto count = [&](const char* closed, std::uint64_t value)
+    {
+        out.counter_of("savoryreach_connections_closed_total",
+                       "connections closed since the service had as many as it may",
+                       {{"service", options_.name}, {"closed", closed}}) = value;
+    };
+    count("idle", slots_.closed_for_room());
+    count("new", slots_.refused());
     listener_.write_metrics(out, options_.name);
 }
 
@@ -318,7 +383,7 @@
 {
     listener_.close();
     const auto connections = connections_;
-    for (const auto& it : connections)
+    for (const auto& [id, it] : connections)
     {
         if (it->is_idle())
         {
@@ -331,7 +396,7 @@
 {
     listener_.close();
     const auto connections = connections_;
-    for (const auto& it : connections)
+    for (const auto& [id, it] : connections)
     {
         it->close();
     }
--- a/savoryreach/daemon/http_service.hpp
+++ b/savoryreach/daemon/http_service.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYREACH_DAEMON_HTTP_SERVICE_HPP
 #define SAVORYREACH_DAEMON_HTTP_SERVICE_HPP
 
+#include "savoryreach/daemon/connection_slots.hpp"
 #include "savoryreach/net/listener.hpp"
 #include "savoryreach/observe/metrics.hpp"
 
@@ -12,10 +13,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace savoryreach::daemon
 {
@@ -107,6 +109,19 @@
     /// Listens on "ip:port". Returns an error text on failure.
     [[nodiscard]] std::optional<std::string> listen(const std::string& address);
     void set_limits(const service_limits& limits) { limits_ = limits; }
+    /// Keeps a number of connections that changes with the limits of the process.
+    void limit_connections(std::function<std::size_t()> max_connections)
+    {
+        max_connections_ = std::move(max_connections);
+    }
+    /// Without a limit of its own, the service takes what a process has for its callers.
+    void limit_connections(std::size_t max_connections)
+    {
+        max_connections_ = [max_connections]
+        {
+            return max_connections;
+        };
+    }
     /// Later responses carry "Connection: close".
     void drain() { draining_ = true; }
     /// Accepts no more requests: closes the listener and all idle connections.
@@ -121,12 +136,17 @@
     class connection;
 
     void on_accepted(boost::asio::ip::tcp::socket socket);
+    void close_for_room(const std::vector<connection_slots::id>& closed);
+    void on_closed(connection_slots::id it);
 
     http_service_options options_;
     handler serve_;
     service_limits limits_;
     net::listener listener_;
-    std::set<std::shared_ptr<connection>> connections_;
+    std::function<std::size_t()> max_connections_;
+    std::map<connection_slots::id, std::shared_ptr<connection>> connections_;
+    connection_slots slots_;
+    bool full_ = false; ///< connections were closed for new ones
     bool draining_ = false;
     std::size_t open_exchanges_ = 0;
 };
--- a/savoryreach/daemon/metrics_service.cpp
+++ b/savoryreach/daemon/metrics_service.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/daemon/metrics_service.hpp"
 
+#include "savoryreach/daemon/descriptor_budget.hpp"
+
 #include <memory>
 #include <utility>
 
@@ -26,6 +28,7 @@
                    caller->respond(std::move(out));
                })
 {
+    service_.limit_connections(descriptor_reserve::metrics);
 }
 
 } // namespace savoryreach::daemon
--- a/tests/daemon/http_service_test.cpp
+++ b/tests/daemon/http_service_test.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <stdexcept>
+#include <vector>
 
 namespace savoryreach::daemon
 {
@@ -74,15 +75,21 @@
     boost::asio::io_context io_;
     base::system_clock clock_;
     std::string address_;
+    std::vector<std::shared_ptr<http_exchange>> waiting_; ///< not answered
     http_service service_{
         io_,
         {"calls", "X-Deadline"},
-        [](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+        [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
         {
             if (request.path == "/raise")
             {
                 throw std::runtime_error("unexpected");
             }
+            if (request.path == "/wait")
+            {
+                waiting_.push_back(exchange);
+                return;
+            }
             http_response response;
             response.status = status_ok;
             exchange->respond(response);
@@ -141,5 +148,44 @@
     EXPECT_LT(sent, 50);
 }
 
+// Callers that held connections left none for others.
+TEST_F(http_service_calls, full_service_closes_the_longest_idle_connection_for_a_new_one)
+{
+    service_.limit_connections(2);
+    auto oldest = connect();
+    run(std::chrono::milliseconds(50));
+    auto newer = connect();
+    run(std::chrono::milliseconds(50));
+    const auto served = call("/ok");
+    ASSERT_TRUE(served);
+    EXPECT_EQ(served->status, status_ok);
+    EXPECT_TRUE(is_closed(oldest));
+    EXPECT_FALSE(is_closed(newer));
+}
+
+TEST_F(http_service_calls, full_service_keeps_requests_that_are_being_served)
+{
+    service_.limit_connections(2);
+    const std::string request = "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    auto first = connect(request);
+    auto second = connect(request);
+    run(std::chrono::milliseconds(100));
+    ASSERT_EQ(waiting_.size(), 2U);
+    auto refused = connect();
+    run(std::chrono::milliseconds(100));
+    EXPECT_TRUE(is_closed(refused));
+    EXPECT_FALSE(is_closed(first));
+    EXPECT_FALSE(is_closed(second));
+    http_response response;
+    response.status = status_ok;
+    for (const auto& it : waiting_)
+    {
+        it->respond(response);
+    }
+    run(std::chrono::milliseconds(100));
+    EXPECT_GT(first.available(), 0U);
+    EXPECT_GT(second.available(), 0U);
+}
+
 } // namespace
 } // namespace savoryreach::daemon
--- a/tests/daemon/sources.cmake
+++ b/tests/daemon/sources.cmake
@@ -1,4 +1,5 @@
 savoryreach_test(daemon_test
+  daemon/connection_slots_test.cpp
   daemon/core_member_test.cpp
   daemon/http_service_test.cpp
   daemon/settings_test.cpp
