--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -2,8 +2,10 @@
 target_sources(savoryreach PRIVATE
   daemon/agent_node.cpp
   daemon/core_member.cpp
+  daemon/connection_slots.cpp
   daemon/decision_log.cpp
   daemon/fatal_errors.cpp
+  daemon/descriptor_budget.cpp
   daemon/fleet_node.cpp
   daemon/http_pool.cpp
   daemon/http_service.cpp
