--- a/tests/soak/configuration_watch.hpp
+++ b/tests/soak/configuration_watch.hpp
@@ -108,7 +108,9 @@
     void add(const std::string& what)
     {
         constexpr std::size_t enough = 20;
-        if (violations_.size() < enough)
+        // A member that never starts again must not hide what else is broken.
+        if (violations_.size() < enough &&
+            std::ranges::find(violations_, what) == violations_.end())
         {
             violations_.push_back(what);
         }
--- a/tests/soak/deployment_soak_test.cpp
+++ b/tests/soak/deployment_soak_test.cpp
@@ -120,7 +120,8 @@
         {
             const auto now = clock::now();
             std::erase_if(lost_until_, [now](const auto& entry) { return entry.second <= now; });
-            if (!lost_until_.contains(&it) &&
+            // One that is lost is not struck again: the others would hardly ever be chosen.
+            if (lost_until_.contains(&it) ||
                 lost_until_.size() >= static_cast<std::size_t>(fleet_->shape().tolerated))
             {
                 return false;
@@ -411,6 +412,62 @@
         }
         return true;
     }
+    /// The disk of one member takes no changes for 4 s.
+    bool full()
+    {
+        constexpr milliseconds length(4000);
+        auto& it = *any_of(fleet_->core());
+        if (!may_lose(it, length))
+        {
+            return false;
+        }
+        note("disk full " + it.name());
+        it.fill_disk();
+        later(length, [&it] { it.free_disk(); });
+        return true;
+    }
+    /// A member starts while its disk takes no changes.
+    bool full_start()
+    {
+        constexpr milliseconds length(3000);
+        auto& it = *any_of(fleet_->core());
+        if (!may_lose(it, length))
+        {
+            return false;
+        }
+        note("start on a full disk " + it.name());
+        it.kill();
+        ending_.erase(&it);
+        it.fill_disk();
+        start_later(it, restart_pause);
+        later(length, [&it] { it.free_disk(); });
+        return true;
+    }
+    /// An operator sends a configuration that is not UTF-8.
+    bool text()
+    {
+        auto& it = *any_of(fleet_->fronts());
+        const int status = operators::send_foreign_text(it.ip());
+        note("text " + it.name() + ": " + std::to_string(status));
+        if (status == 200)
+        {
+            configurations_.violation(it.name() + " acknowledges a text that is not UTF-8");
+        }
+        return true;
+    }
+    /// All processes of the core end at once while they write.
+    bool kill_core()
+    {
+        note("kill the core");
+        const auto pause = between(100, 1000);
+        end_all(fleet_->core(), false);
+        for (auto* it : fleet_->core())
+        {
+            start_later(*it, pause + milliseconds(draw(300)));
+        }
+        operators_->excuse_until(clock::now() + pause + recovery);
+        return true;
+    }
     /// All processes of the core end at once, with or without a loss of power.
     bool herd()
     {
@@ -669,6 +726,10 @@
         {"clock", &deployment_soak::clock_step},
         {"disk", &deployment_soak::disk},
         {"herd", &deployment_soak::herd},
+        {"full", &deployment_soak::full},
+        {"full_start", &deployment_soak::full_start},
+        {"text", &deployment_soak::text},
+        {"kill_core", &deployment_soak::kill_core},
         {"connections", &deployment_soak::connections},
         {"acknowledger", &deployment_soak::strike_acknowledger},
     };
--- a/tests/soak/disk_faults.cpp
+++ b/tests/soak/disk_faults.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <mutex>
 #include <string>
+#include <sys/stat.h>
 #include <sys/types.h>
 #include <thread>
 #include <unistd.h>
@@ -207,7 +208,10 @@
     int ftruncate(int descriptor, off_t size) noexcept
     {
         static auto* const next = real(&ftruncate, "ftruncate");
-        return refuses(descriptor) ? -1 : next(descriptor, size);
+        // A full disk lets a file be cut.
+        struct stat it = {};
+        const bool grows = ::fstat(descriptor, &it) != 0 || size > it.st_size;
+        return grows && refuses(descriptor) ? -1 : next(descriptor, size);
     }
 
     int rename(const char* from, const char* to) noexcept
@@ -228,10 +232,6 @@
     int unlink(const char* path) noexcept
     {
         static auto* const next = real(&unlink, "unlink");
-        if (refuses(std::string(path)))
-        {
-            return -1;
-        }
         const int result = next(path);
         if (result == 0 && is_on_disk(path))
         {
@@ -248,7 +248,8 @@
         va_start(arguments, flags);
         const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : 0;
         va_end(arguments);
-        return (flags & O_CREAT) != 0 && refuses(std::string(path)) ? -1 : next(path, flags, mode);
+        const bool creates = (flags & O_CREAT) != 0 && ::access(path, F_OK) != 0;
+        return creates && refuses(std::string(path)) ? -1 : next(path, flags, mode);
     }
 
 } // extern "C"
--- a/tests/soak/operators.hpp
+++ b/tests/soak/operators.hpp
@@ -97,6 +97,15 @@
         return reply ? reply->status : 0;
     }
 
+    /// Sends a configuration with the name of a route in ISO 8859-2; the status of the answer.
+    static int send_foreign_text(const std::string& ip)
+    {
+        static const std::string name = "\"rjobs\"";
+        auto body = make(foreign_text_version).body;
+        body.replace(body.find(name), name.size(), "\"\xe8\"");
+        return send(ip, body);
+    }
+
     /// The queue of every version is served by the next three versions, too.
     static sent_configuration make(std::int64_t version, bool other_content = false)
     {
@@ -136,6 +145,8 @@
     }
 
 private:
+    /// Above all others, so that it isn't refused for its number.
+    static constexpr std::int64_t foreign_text_version = 500'000;
     static constexpr milliseconds ack_bound = milliseconds(4000);
 
     [[nodiscard]] static bool refuses(int status)
@@ -163,9 +174,15 @@
             {
                 change(version, true, random); // the other content, or the same again
             }
-            std::this_thread::sleep_for(milliseconds(50 + random() % 500));
+            std::this_thread::sleep_for(milliseconds(pause_ms() / 10 + random() % pause_ms()));
         }
     }
+    /// Longest pause between two changes of an operator.
+    static std::uint64_t pause_ms()
+    {
+        const char* text = std::getenv("SAVORYREACH_SOAK_PAUSE_MS");
+        return text == nullptr ? 500 : std::stoull(text);
+    }
     /// Sends one configuration until it is acknowledged.
     void change(std::int64_t version, bool other_content, std::mt19937_64& random)
     {
