--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -157,6 +157,7 @@
         schema::front_answer out;
         out.set_kind(store_.config().version() == 0 ? schema::answer_not_ready
                                                     : schema::answer_done);
+        out.set_reason(store_.config().version() == 0 ? "no configuration yet" : "");
         out.set_document(store_.config().document());
         send_answer(origin, std::move(out));
         break;
--- a/tests/soak/front_calls_test.cpp
+++ b/tests/soak/front_calls_test.cpp
@@ -5,7 +5,6 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace savoryreach::soak
@@ -82,7 +81,7 @@
 // Only a prefix that ends in '/' was taken for the prefix of a queue.
 TEST_F(front_calls, count_is_given_for_exactly_the_queues_in_force_at_every_front)
 {
-    using ::std::vector;
+    using std::vector;
     put_in_force(1, {"/a/", "/a/b/", "/plain", "/removed/"});
     put_in_force(2, {"/a/", "/a/b/", "/plain", "/plain/c", "/added/"});
     for (const char* served : {"/a/", "/a/b/", "/plain", "/plain/c", "/added/"})
@@ -99,5 +98,46 @@
     }
 }
 
+// A 503 or 504 to the operator left no line.
+TEST_F(front_calls, operator_call_that_is_not_acknowledged_leaves_a_bounded_number_of_lines)
+{
+    put_in_force(1, {"/a/"});
+    auto& last = *fleet_->fronts()[2];
+    fleet_->fronts()[0]->kill();
+    fleet_->fronts()[1]->kill();
+    const auto begun_at = clock::now();
+    constexpr int calls = 60;
+    int refused = 0;
+    // The remaining front may be the dispatcher, and answers until its lease ends.
+    while (refused < calls && clock::now() < begun_at + milliseconds(20'000))
+    {
+        configuration_watch unused;
+        refused += operators::read_at(last.ip(), unused) >= 500 ? 1 : 0;
+    }
+    const auto status = operators::send(last.ip(), operators::make(2).body);
+    EXPECT_GE(status, 500);
+    // Long enough for lines of the last second to be written.
+    std::this_thread::sleep_for(milliseconds(1500));
+    const auto status_after_pause = operators::send(last.ip(), operators::make(2).body);
+    EXPECT_GE(status_after_pause, 500);
+    std::this_thread::sleep_for(milliseconds(500));
+    const auto seconds = (clock::now() - begun_at) / milliseconds(1000) + 1;
+    int lines = 0;
+    bool has_replace = false;
+    std::ifstream log(last.log_file());
+    for (std::string line; std::getline(log, line);)
+    {
+        const bool is_refusal = line.find("event=operator_refused") != std::string::npos;
+        lines += is_refusal ? 1 : 0;
+        has_replace = has_replace ||
+                      (is_refusal && line.find("call=\"replace 2\" status=") != std::string::npos &&
+                       line.find("age_ms=") != std::string::npos);
+    }
+    EXPECT_EQ(refused, calls);
+    EXPECT_TRUE(has_replace);
+    EXPECT_GT(lines, 0);
+    EXPECT_LE(lines, 10 * (seconds + 1) + 2);
+}
+
 } // namespace
 } // namespace savoryreach::soak
