--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -167,7 +167,8 @@
         {
             it.open(boost::asio::ip::tcp::v4());
             it.non_blocking(true);
-            ::connect(it.native_handle(), silent_.data(), silent_.size());
+            // Stays in progress: the queue of the listener is full.
+            (void)::connect(it.native_handle(), silent_.data(), silent_.size());
         }
     }
     void publish_addresses()
--- a/tests/soak/deployment_soak_test.cpp
+++ b/tests/soak/deployment_soak_test.cpp
@@ -77,7 +77,7 @@
         }
         if (chosen_.empty())
         {
-            for (const auto& [name, it] : faults_)
+            for (const auto& [name, it] : all_faults)
             {
                 chosen_.push_back(name);
             }
@@ -683,7 +683,7 @@
             if (clock::now() >= next_fault_at)
             {
                 const auto name = chosen_[draw(chosen_.size())];
-                if ((this->*faults_.at(name))())
+                if ((this->*all_faults.at(name))())
                 {
                     next_fault_at = clock::now() + between(50, 1500);
                 }
@@ -746,7 +746,7 @@
 
     using fault = bool (deployment_soak::*)();
     static constexpr rlim_t descriptors = 400;
-    inline static const std::map<std::string, fault> faults_ = {
+    inline static const std::map<std::string, fault> all_faults = {
         {"kill", &deployment_soak::kill},
         {"power", &deployment_soak::power},
         {"freeze", &deployment_soak::freeze},
