--- a/tests/daemon/http_caller_test.cpp
+++ b/tests/daemon/http_caller_test.cpp
@@ -158,7 +158,8 @@
     tcp::endpoint endpoint_;
     int departures_ = 0;
     http_service service_{
-        io_, "X-Deadline",
+        io_,
+        {"calls", "X-Deadline"},
         [this](const http_request& request, const std::shared_ptr<http_exchange>& caller)
         {
             serve(request, caller);
