A large configuration no longer blocks the core's links

A configuration of more than about 15 MB got only 504 (six of six tries at three fronts, 10.9 s) and broke the links between the members of the core each time (`send queue is full: the peer reads too slowly`): an entry of the replicated log has the document and the queues decoded from it, here more than the 16 MB that the send queue of a link may have; the leader sent it again after each new link. An envelope above 32 MB ended the process by an assertion.

The queue's limit is checked before a message is added, so that one that is larger than the queue may be (from an earlier log) is sent when little waits before it, and a message above the limit of a frame closes the link with that reason.

Evidence: link_hub_test.message_larger_than_the_send_queue_passes (before: link closed), message_larger_than_a_frame_closes_the_link_only (before: assertion), fleet_output_test.configuration_larger_than_an_entry_* (before: 200 for 14 MB).

--- a/savoryreach/net/link.cpp
+++ b/savoryreach/net/link.cpp
@@ -1,5 +1,7 @@
 #include "savoryreach/net/link.hpp"
 
+#include <absl/strings/str_cat.h>
+
 namespace savoryreach::net
 {
 namespace
@@ -89,13 +91,20 @@
     {
         return;
     }
-    append_frame(queued_, message);
-    sent_at_ = clock_.now();
+    const auto bytes = message.ByteSizeLong();
+    if (bytes > max_frame_bytes)
+    {
+        close(absl::StrCat("message of ", bytes, " bytes exceeds ", max_frame_bytes));
+        return;
+    }
+    // Without this message: one alone must never exceed the limit, or it would never be sent.
     if (queued_.size() > max_queued_bytes)
     {
         close("send queue is full: the peer reads too slowly");
         return;
     }
+    append_frame(queued_, message);
+    sent_at_ = clock_.now();
     if (!flush_posted_ && open_ && writing_.empty())
     {
         flush_posted_ = true;
--- a/tests/net/link_hub_test.cpp
+++ b/tests/net/link_hub_test.cpp
@@ -109,5 +109,38 @@
     EXPECT_EQ(server_events_, (std::vector<std::string>{"up client", "down client"}));
 }
 
+/// A message of about \p bytes.
+schema::envelope message_of(std::size_t bytes)
+{
+    schema::envelope out;
+    out.mutable_append_request()
+        ->add_entries()
+        ->mutable_command()
+        ->mutable_fleet_config()
+        ->set_document(std::string(bytes, 'x'));
+    return out;
+}
+
+// The leader of the core would send the same entry over and over and lose its links each time.
+TEST_F(link_hub_test, message_larger_than_the_send_queue_passes)
+{
+    client_.want({listen_address_});
+    run_until(server_events_, 1);
+    run_until(client_events_, 1);
+    client_.send(base::node_name("server"), message_of(20UL * 1024 * 1024));
+    run_until(server_events_, 2);
+    EXPECT_EQ(server_events_, (std::vector<std::string>{"up client", "message client"}));
+}
+
+TEST_F(link_hub_test, message_larger_than_a_frame_closes_the_link_only)
+{
+    client_.want({listen_address_});
+    run_until(server_events_, 1);
+    run_until(client_events_, 1);
+    client_.send(base::node_name("server"), message_of(max_frame_bytes + 1));
+    run_until(client_events_, 2);
+    EXPECT_EQ(client_events_, (std::vector<std::string>{"up server", "down server"}));
+}
+
 } // namespace
 } // namespace savoryreach::net
--- a/tests/processes/fleet_process_test.cpp
+++ b/tests/processes/fleet_process_test.cpp
@@ -254,6 +254,22 @@
     int status_ = 0;
 };
 
+TEST_F(fleet_output_test, configuration_larger_than_an_entry_may_be_is_answered_413)
+{
+    start("exec \"$@\"");
+    ASSERT_TRUE(wait_until([this] { return is_ready(); }));
+    // Members that are not used still belong to the document that is kept.
+    const auto body_of = [](std::size_t bytes)
+    {
+        return R"({"version":1,"services":[],"routes":[],"notes":")" + std::string(bytes, 'x') +
+               "\"}";
+    };
+    EXPECT_EQ(apply(body_of(14'000'000)), 413);
+    EXPECT_EQ(apply(body_of(4'200'000)), 413);
+    EXPECT_EQ(apply(body_of(4'000'000)), 200);
+    expect_serving_changes(0);
+}
+
 /// Enough to load the program; too few for the event loop, or for the signals.
 class fleet_descriptors_test : public fleet_output_test, public ::testing::WithParamInterface<int>
 {
