An identity that can't be read is not replaced by a new one

Found by reading, on the way to members that start on a disk that refuses: load_identity() took every failure to read the identity file as "there is none" and stored a new identity over it, beside a log with the old member's votes and entries. A read error (EIO) for a moment is enough.

When the file can't be read, the folder is listed: if it has the file, or can't be listed either, the start fails with the reason of the disk.

core_member_test.identity_that_cannot_be_read_is_not_replaced: before, the member had another name afterwards; after, it has the same.

--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -62,6 +62,14 @@
         }
         return core_identity{record.agents(0).name(), record.keepers()};
     }
+    // A file that can't be read now must not be replaced: the votes in the log are this member's.
+    const auto reason = disk.last_reason();
+    const auto names = disk.list(options.folder);
+    if (!names || std::ranges::find(*names, identity_file + 1) != names->end())
+    {
+        error = names ? reason : disk.last_reason();
+        return std::nullopt;
+    }
     const bool is_founder =
         options.first_start &&
         std::ranges::find(options.seeds, options.address) != options.seeds.end();
--- a/tests/daemon/core_member_test.cpp
+++ b/tests/daemon/core_member_test.cpp
@@ -202,5 +202,26 @@
     EXPECT_TRUE(store(9, 3));
 }
 
+// The log in the same folder has the votes of the member that the file names.
+TEST_F(core_member_test, identity_that_cannot_be_read_is_not_replaced)
+{
+    core_options options;
+    options.folder = absl::StrCat(folder_, "/added");
+    options.address = "127.0.0.1:1";
+    options.seeds = seeds_;
+    const std::atomic<bool> refuses = false;
+    std::string error;
+    refusing_disk disk(refuses);
+    const auto stored = load_identity(disk, options, error);
+    ASSERT_TRUE(stored) << error;
+    refusing_disk unreadable(refuses);
+    unreadable.refuse_reads();
+    EXPECT_FALSE(load_identity(unreadable, options, error));
+    EXPECT_EQ(error, unreadable.last_reason());
+    const auto read = load_identity(disk, options, error);
+    ASSERT_TRUE(read) << error;
+    EXPECT_EQ(read->name, stored->name);
+}
+
 } // namespace
 } // namespace savoryreach::daemon
--- a/tests/daemon/refusing_disk.hpp
+++ b/tests/daemon/refusing_disk.hpp
@@ -17,6 +17,9 @@
 public:
     explicit refusing_disk(const std::atomic<bool>& refuses) : refuses_(refuses) {}
 
+    /// From now on no file can be read.
+    void refuse_reads() { refuses_reads_ = true; }
+
     bool make_folder(const std::string& path) override { return real_.make_folder(path); }
     std::optional<std::vector<std::string>> list(const std::string& folder) override
     {
@@ -31,7 +34,10 @@
     {
         return real_.lock(path);
     }
-    std::optional<std::string> read(const std::string& path) override { return real_.read(path); }
+    std::optional<std::string> read(const std::string& path) override
+    {
+        return refuses_reads_ ? std::nullopt : real_.read(path);
+    }
     bool truncate(const std::string& path, std::uint64_t size) override
     {
         return !refuses_ && real_.truncate(path, size);
@@ -68,6 +74,7 @@
     };
 
     const std::atomic<bool>& refuses_; ///< Set by the test, read on the writer thread.
+    bool refuses_reads_ = false;
     storage::posix_disk real_;
     std::string reason_ = "no space left"; ///< Text of every failure.
 };
