Test processes no longer inherit the sockets of their test

deployment_soak holds 450 connections to a front whose limit is 400 descriptors; a process that it started meanwhile inherited them, since they are not opened with O_CLOEXEC, and ran out of descriptors at its start.

--- a/tests/processes/child_process.cpp
+++ b/tests/processes/child_process.cpp
@@ -25,6 +25,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of the test, such as connections that it holds open, are not the program's.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = 0;
     const int ec = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
