Remove a silent voter after its successor, one without its disk before it

With two silent voters and one stand-by both were removed.

Now the order follows from what is known. A voter whose host has another identity has lost its disk for certain: it is removed first, as before. One that is only silent stays until its successor is a voter, since a majority may need it; one stand-by costs one voter. Also from the review: - a learner that answers but does not become a voter within 5 s is removed (it blocked every change; a follower acknowledges rounds without storing entries), - silence counts from what was last heard of a member, not from the end of its link 1.2 s later, and what the leader knew before it led is capped at the beginning of its term, so that a returning leader has no outdated record, - a listener accepts again before its handler runs: an error in the handler ended the listening, now that the loop goes on after it, - no more than 3,072 descriptors are relied on (the smallest hosts have 3,075), - listening reports the first error (EMFILE was reported as a bad descriptor).

--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -15,10 +15,13 @@
 /// stays below a tenth of a disk of 128 MB.
 constexpr std::uint64_t snapshot_every = 64;
 constexpr std::uint64_t segment_bytes = 2UL * 1024 * 1024;
-/// Interval at which a member looks who is linked and, as the leader, whether the membership must
+/// Interval at which a member notes whom it hears and, as the leader, whether the membership must
 /// change.
 constexpr absl::Duration membership_interval = absl::Milliseconds(100);
 
+/// Time for a learner to catch up: the transfer of a snapshot and some slow syncs.
+constexpr absl::Duration learner_time = absl::Seconds(5);
+
 constexpr const char* identity_file = "/identity";
 
 std::uint64_t random_u64()
@@ -70,6 +73,14 @@
         }
         return core_identity{record.agents(0).name(), record.keepers()};
     }
+    // A file that can't be read now must not be replaced: the votes in the log are this member's.
+    const auto reason = disk.last_reason();
+    const auto names = disk.list(options.folder);
+    if (!names || std::ranges::find(*names, identity_file + 1) != names->end())
+    {
+        error = names ? reason : disk.last_reason();
+        return std::nullopt;
+    }
     const bool is_founder =
         options.first_start &&
         std::ranges::find(options.seeds, options.address) != options.seeds.end();
@@ -244,13 +255,13 @@
     {
         next_membership_update_ = now + membership_interval;
     }
+    if (is_due)
+    {
+        record_links();
+    }
     if (!log_->can_serve())
     {
         leading_since_ = absl::InfiniteFuture();
-        if (is_due)
-        {
-            record_links();
-        }
         return;
     }
     leading_since_ = std::min(leading_since_, now);
@@ -264,23 +275,30 @@
 {
     for (const auto& it : members().members())
     {
-        if (hub_.is_linked(it.name()))
-        {
-            last_linked_at_[it.name()] = clock_.now();
-        }
+        auto& last = last_heard_at_.try_emplace(it.name(), started_at_).first->second;
+        last = std::max(last, hub_.heard_at(it.name()));
     }
 }
 
+/// While this process leads, only answers count: a member may be linked and yet not store anything.
+absl::Time core_member::last_linked_at(const std::string& name) const
+{
+    return std::max(std::min(time_of(last_heard_at_, name, started_at_), leading_since_),
+                    time_of(last_added_at_, name, absl::InfinitePast()));
+}
+
 void core_member::update_membership()
 {
-    const auto change = planner_.next(
-        {identity_.name, log_->members().current(),
-         [this](const std::string& name) { return log_->last_contact(name); },
-         [this](const std::string& name) { return time_of(last_linked_at_, name, started_at_); },
-         [this](const std::string& name)
-         { return time_of(last_removed_at_, name, absl::InfinitePast()); },
-         hub_.peers(), leading_since_},
-        clock_.now());
+    const auto change =
+        planner_.next({identity_.name, log_->members().current(),
+                       [this](const std::string& name) { return log_->last_contact(name); },
+                       [this](const std::string& name) { return last_linked_at(name); },
+                       [this](const std::string& name)
+                       { return time_of(last_added_at_, name, leading_since_) + learner_time; },
+                       [this](const std::string& name)
+                       { return time_of(last_removed_at_, name, absl::InfinitePast()); },
+                       hub_.peers(), leading_since_},
+                      clock_.now());
     if (!change)
     {
         return;
@@ -296,7 +314,7 @@
     }
     if (index)
     {
-        (change->remove() ? last_removed_at_ : last_linked_at_)[change->name()] = clock_.now();
+        (change->remove() ? last_removed_at_ : last_added_at_)[change->name()] = clock_.now();
     }
     last_change_ = text;
     log_->flush();
--- a/savoryreach/daemon/core_member.hpp
+++ b/savoryreach/daemon/core_member.hpp
@@ -100,6 +100,7 @@
     void on_storage_reopened(const storage::file_log_storage::recovered_content& content);
     void update_membership();
     void record_links();
+    [[nodiscard]] absl::Time last_linked_at(const std::string& name) const;
 
     core_identity identity_;
     net::link_hub& hub_;
@@ -118,8 +119,8 @@
     bool retired_ = false;
     absl::Time leading_since_ = absl::InfiniteFuture();
     absl::Time started_at_;
-    /// When this process last had a link to a member while it did not lead, or added it.
-    times_by_name last_linked_at_;
+    times_by_name last_heard_at_;   ///< of members, over links
+    times_by_name last_added_at_;   ///< by this process as the leader
     times_by_name last_removed_at_; ///< by this process as the leader
     absl::Time next_membership_update_ = absl::InfinitePast();
     std::string last_change_; ///< last attempted change; failed repeats are not logged
--- a/savoryreach/daemon/descriptor_budget.cpp
+++ b/savoryreach/daemon/descriptor_budget.cpp
@@ -17,7 +17,7 @@
 
 /// What the platform gives the smallest process; a limit above it, or an unknown one, is not relied
 /// on.
-constexpr std::uint64_t most_descriptors = 4096;
+constexpr std::uint64_t most_descriptors = 3072;
 /// Part of the descriptors for callers where the reserve does not fit.
 constexpr std::uint64_t least_caller_part = 4;
 
--- a/savoryreach/dispatch/core_planner.cpp
+++ b/savoryreach/dispatch/core_planner.cpp
@@ -50,17 +50,9 @@
 
 } // namespace
 
-bool core_planner::is_gone(const core_state& state, const schema::keeper_member& member,
-                           absl::Time now) const
+bool core_planner::is_silent(const core_state& state, const schema::keeper_member& member,
+                             absl::Time now) const
 {
-    if (member.name() == state.self)
-    {
-        return false;
-    }
-    if (is_superseded(state, member) && !is_linked(state, member.name()))
-    {
-        return true;
-    }
     const auto last_sign =
         std::max(state.last_answer_at(member.name()), state.last_linked_at(member.name()));
     return now > last_sign + replace_after_ && now > state.leading_since + first_answer_wait;
@@ -91,26 +83,43 @@
                                                          absl::Time now) const
 {
     std::size_t voters = 0;
-    const schema::keeper_member* lost = nullptr;
+    const schema::keeper_member* blocking_learner = nullptr;
+    const schema::keeper_member* without_disk = nullptr;
+    const schema::keeper_member* silent = nullptr;
     for (const auto& it : state.members.members())
     {
         voters += it.voter() ? 1 : 0;
-        if (is_gone(state, it, now) && (lost == nullptr || !it.voter()))
+        if (it.name() == state.self)
+        {
+            continue;
+        }
+        const bool lost_disk = is_superseded(state, it) && !is_linked(state, it.name());
+        const bool is_lost = lost_disk || is_silent(state, it, now);
+        if (!it.voter())
         {
-            lost = &it;
+            blocking_learner =
+                is_lost || now > state.promoted_by(it.name()) ? &it : blocking_learner;
+        }
+        else if (is_lost)
+        {
+            (lost_disk ? without_disk : silent) = &it;
         }
     }
-    const auto* stand_by = find_stand_by(state);
-    // A lost learner blocks every other change.
-    if (lost != nullptr && (!lost->voter() || voters > wanted_voters_ || stand_by != nullptr))
+    // A learner that does not become a voter blocks every other change.
+    if (blocking_learner != nullptr)
     {
-        return removal(*lost);
+        return removal(*blocking_learner);
+    }
+    if (without_disk != nullptr)
+    {
+        return removal(*without_disk);
     }
     if (voters > wanted_voters_)
     {
-        return remove_surplus(state, now);
+        return silent != nullptr ? removal(*silent) : remove_surplus(state, now);
     }
-    if (voters == wanted_voters_ || stand_by == nullptr)
+    const auto* stand_by = find_stand_by(state);
+    if (stand_by == nullptr || (voters == wanted_voters_ && silent == nullptr))
     {
         return std::nullopt;
     }
--- a/savoryreach/dispatch/core_planner.hpp
+++ b/savoryreach/dispatch/core_planner.hpp
@@ -23,8 +23,10 @@
     schema::keeper_set members;
     /// Time of a member's last answer to this leader; infinite past if it has not answered.
     std::function<absl::Time(const std::string&)> last_answer_at;
-    /// When this process last had a link to a member before it led.
+    /// When this process last heard of a member before it led, or added it as the leader.
     std::function<absl::Time(const std::string&)> last_linked_at;
+    /// Until when a learner that this leader has added may catch up.
+    std::function<absl::Time(const std::string&)> promoted_by;
     /// When this leader last removed a process of this name; infinite past if it has not.
     std::function<absl::Time(const std::string&)> last_removed_at;
     std::vector<net::link_peer> linked; ///< processes with a link to the leader
@@ -33,9 +35,12 @@
 
 /// Plans changes of the voters of the core: a lost voter is replaced by a stand-by, voters above
 /// the wanted number are removed, and a process that lost its disk replaces its former member.
-/// Makes one change at a time, and only while the other voters form a quorum. A lost voter is
-/// removed before its successor is added: with both among the voters a majority would need one
-/// more live voter, and the next loss could end the core for good.
+/// Makes one change at a time, and only while the other voters form a quorum.
+///
+/// A voter whose disk is lost is removed before its successor is added: beside each other they
+/// would raise the number of live voters that a majority needs, and the next loss could end the
+/// core for good. A voter that is only silent may return with its disk, and may then be needed for
+/// a majority, so it is removed after its successor has become a voter.
 class core_planner
 {
 public:
@@ -56,8 +61,8 @@
     static constexpr absl::Duration recent_answer = absl::Seconds(1);
 
 private:
-    [[nodiscard]] bool is_gone(const core_state& state, const schema::keeper_member& member,
-                               absl::Time now) const;
+    [[nodiscard]] bool is_silent(const core_state& state, const schema::keeper_member& member,
+                                 absl::Time now) const;
     [[nodiscard]] std::optional<schema::change_keepers> remove_surplus(const core_state& state,
                                                                        absl::Time now) const;
 
--- a/savoryreach/net/address.cpp
+++ b/savoryreach/net/address.cpp
@@ -40,8 +40,14 @@
     }
     boost::system::error_code ec;
     acceptor.open(endpoint->protocol(), ec);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    acceptor.bind(*endpoint, ec);
+    if (!ec)
+    {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    }
+    if (!ec)
+    {
+        acceptor.bind(*endpoint, ec);
+    }
     if (!ec)
     {
         acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
--- a/savoryreach/net/link_hub.cpp
+++ b/savoryreach/net/link_hub.cpp
@@ -298,6 +298,19 @@
     return links_by_peer_.contains(peer);
 }
 
+absl::Time link_hub::heard_at(const std::string& peer) const
+{
+    auto out = absl::InfinitePast();
+    if (const auto it = links_by_peer_.find(peer); it != links_by_peer_.end())
+    {
+        for (const auto& connection : it->second)
+        {
+            out = std::max(out, connection->heard_at());
+        }
+    }
+    return out;
+}
+
 std::vector<link_peer> link_hub::peers() const
 {
     std::vector<link_peer> out;
--- a/savoryreach/net/link_hub.hpp
+++ b/savoryreach/net/link_hub.hpp
@@ -71,6 +71,8 @@
     /// Sets the addresses to keep outgoing links to; closes the outgoing links to all others.
     void want(const std::vector<std::string>& addresses);
     [[nodiscard]] bool is_linked(const std::string& peer) const;
+    /// When the linked process \p peer was last heard; infinite past if it is not linked.
+    [[nodiscard]] absl::Time heard_at(const std::string& peer) const;
     [[nodiscard]] std::vector<link_peer> peers() const;
     void write_metrics(observe::metrics& out) const;
 
--- a/savoryreach/net/listener.cpp
+++ b/savoryreach/net/listener.cpp
@@ -45,8 +45,9 @@
                 return;
             }
             on_success();
-            handlers_.accepted(std::move(socket));
+            // First, so that an error in the handler does not end the listening.
             accept();
+            handlers_.accepted(std::move(socket));
         });
 }
 
--- a/tests/soak/core_repair_test.cpp
+++ b/tests/soak/core_repair_test.cpp
@@ -37,6 +37,14 @@
         }
     }
 
+    void begin(const deployment_shape& shape)
+    {
+        fleet_.reset();
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directories(folder_);
+        fleet_ = std::make_unique<deployment>(shape, folder_, jobs_, 1);
+    }
+
     /// Sends the next configuration to all fronts until one acknowledges it.
     bool change_configuration(milliseconds limit)
     {
@@ -127,5 +135,22 @@
     expect_served();
 }
 
+// A silent member was removed before the stand-by was added. When another one lost its disk just
+// then, the one that returned with its disk no longer counted, and the rest had no majority.
+TEST_F(core_repair,
+       silent_host_that_returns_after_the_loss_of_another_disk_leaves_a_core_that_serves)
+{
+    begin({"four", 4, 0, 1, 1});
+    ASSERT_TRUE(change_configuration(recovery));
+    const auto core = fleet_->core();
+    core[3]->slow_disk(400); // the stand-by takes a while to catch up
+    core[2]->kill();
+    ASSERT_TRUE(wait_for_log("event=member_change", 1, recovery));
+    core[1]->lose_disk();
+    core[2]->start(false);
+    core[1]->start(false);
+    expect_served();
+}
+
 } // namespace
 } // namespace savoryreach::soak
