--- a/savoryreach/daemon/core_member.cpp
+++ b/savoryreach/daemon/core_member.cpp
@@ -254,9 +254,6 @@
     if (is_due)
     {
         next_membership_update_ = now + membership_interval;
-    }
-    if (is_due)
-    {
         record_links();
     }
     if (!log_->can_serve())
