--- a/tests/soak/disk_faults.cpp
+++ b/tests/soak/disk_faults.cpp
@@ -129,7 +129,7 @@
     {
         if (folder_of(from) != folder)
         {
-            kept += from + " " + to + "\n";
+            kept.append(from).append(" ").append(to).append("\n");
         }
         else if (to == "-")
         {
