Test with few descriptors: close those that the caller handed down

ctest hands an open descriptor 3 down to its tests, so that with a limit of 4 the loader could not open the first library: exit 127 without a line, in two runs under ctest. By hand with 3</dev/null: failed before, passes now.

--- a/tests/processes/fleet_process_test.cpp
+++ b/tests/processes/fleet_process_test.cpp
@@ -278,7 +278,10 @@
 TEST_P(fleet_descriptors_test, too_few_for_a_start_are_the_logged_reason)
 {
     const auto file = (folder_ / "output").string();
-    start("exec >>" + file + "; ulimit -n " + std::to_string(GetParam()) + "; exec \"$@\"");
+    // Whoever runs the tests may hand down open descriptors; the loader needs one that is free.
+    const std::string close_inherited = "exec 3>&- 4>&- 5>&- 6>&- 7>&- 8>&- 9>&-; ";
+    start(close_inherited + "exec >>" + file + "; ulimit -n " + std::to_string(GetParam()) +
+          "; exec \"$@\"");
     ASSERT_TRUE(wait_until([this] { return has_ended(); }));
     EXPECT_TRUE(WIFEXITED(status_) && WEXITSTATUS(status_) == 1) << status_;
     std::ostringstream out;
