--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -156,6 +156,13 @@
     return 1;
 }
 
+dispatch::dispatcher_options dispatcher_options_of(const settings& config)
+{
+    dispatch::dispatcher_options out;
+    out.remote_factor = config.remote_factor > 0.0 ? config.remote_factor : out.remote_factor;
+    return out;
+}
+
 int run_front(const settings& config, const std::string& path, const base::clock& clock,
               observe::hybrid_clock& hybrid)
 {
@@ -165,7 +172,7 @@
                             {absl::StrCat(config.node_name, "/", std::random_device()()), config.ip,
                              absl::StrCat(config.ip, ":", config.internal_port), config.seeds,
                              config.data_folder, config.first_start, config.tolerated_failures,
-                             config.catch_up});
+                             config.catch_up, dispatcher_options_of(config)});
     platform::front_api api(io, node);
     if (const auto error = node.start())
     {
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -94,7 +94,8 @@
         }
     }
     dispatcher_ = std::make_unique<dispatch::dispatcher>(clock_, *this, events_, metrics_,
-                                                         member_ ? member_->store() : empty_store_);
+                                                         member_ ? member_->store() : empty_store_,
+                                                         options_.dispatching);
     log(log_level::info, "started",
         {{"name", link_name_}, {"address", options_.address}, {"core", member_ ? "1" : "0"}});
     ticks_.start([this] { return tick(); });
--- a/savoryreach/daemon/fleet_node.hpp
+++ b/savoryreach/daemon/fleet_node.hpp
@@ -35,6 +35,7 @@
     std::uint32_t tolerated_failures = 1; ///< core members that may fail at the same time
     /// For this long after it is back, or its successor has started, a host counts as lost.
     absl::Duration catch_up = absl::Seconds(4);
+    dispatch::dispatcher_options dispatching;
 };
 
 /// A front process. It forwards client requests to the dispatcher. With a disk it is also a member
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -37,8 +37,10 @@
 } // namespace
 
 dispatcher::dispatcher(const base::clock& clock, dispatch_port& port, observe::event_sink& events,
-                       observe::metrics& metrics, const fleet_store& store)
-    : clock_(clock), port_(port), events_(events), metrics_(metrics), store_(store)
+                       observe::metrics& metrics, const fleet_store& store,
+                       const dispatcher_options& options)
+    : clock_(clock), port_(port), events_(events), metrics_(metrics), store_(store),
+      options_(options)
 {
 }
 
@@ -716,7 +718,7 @@
             {
                 continue;
             }
-            const auto chosen = choose_endpoint(index_, speeds_, it, step, task, s, now);
+            const auto chosen = choose_endpoint(index_, speeds_, it, step, task, s, now, options_);
             if (chosen.target != nullptr)
             {
                 start(it, s, n, *chosen.target);
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "savoryreach/base/clock.hpp"
 #include "savoryreach/dispatch/admission.hpp"
+#include "savoryreach/dispatch/dispatcher_options.hpp"
 #include "savoryreach/dispatch/endpoint_table.hpp"
 #include "savoryreach/dispatch/fleet_store.hpp"
 #include "savoryreach/dispatch/job_table.hpp"
@@ -65,7 +66,8 @@
 {
 public:
     dispatcher(const base::clock& clock, dispatch_port& port, observe::event_sink& events,
-               observe::metrics& metrics, const fleet_store& store);
+               observe::metrics& metrics, const fleet_store& store,
+               const dispatcher_options& options = {});
 
     /// Begins to dispatch in \p term. No task starts until every host that may have runs of an
     /// earlier term has listed its runs or its leases have expired.
@@ -192,6 +194,7 @@
     observe::event_sink& events_;
     observe::metrics& metrics_;
     const fleet_store& store_;
+    dispatcher_options options_;
     queue_router router_;
     endpoint_table endpoints_;
     speed_model speeds_;
--- a/savoryreach/dispatch/placement.cpp
+++ b/savoryreach/dispatch/placement.cpp
@@ -10,8 +10,6 @@
 /// Time from the decision to the start plus the time from the end to the answer: four one-way
 /// network delays and the processing between them.
 constexpr absl::Duration overhead = absl::Milliseconds(12);
-/// Greatest factor by which a run takes longer on a rack that does not hold its data.
-constexpr double remote_factor = 2.0;
 
 bool has_label(const endpoint& it, const std::string& label)
 {
@@ -55,6 +53,7 @@
     const job_task& task;
     std::uint32_t step_number;
     absl::Time now;
+    double remote_factor; ///< of a run on a rack that does not hold the data
 };
 
 /// Finds the endpoint with at least \p free_milli free cores (in thousandths) that satisfies
@@ -80,9 +79,9 @@
             break;
         }
         const bool is_near = rack.empty() || has_label(it, rack);
-        if (is_near || time * remote_factor < best.time)
+        if (is_near || time * wanted.remote_factor < best.time)
         {
-            best = {&it, is_near ? time : time * remote_factor};
+            best = {&it, is_near ? time : time * wanted.remote_factor};
         }
         if (is_near)
         {
@@ -96,14 +95,14 @@
 
 placement choose_endpoint(const placement_index& index, const speed_model& speeds, const job& owner,
                           const job_step& step, const job_task& task, std::uint32_t step_number,
-                          absl::Time now)
+                          absl::Time now, const dispatcher_options& options)
 {
     const auto* ranking = index.find(owner.queue.service());
     if (ranking == nullptr)
     {
         return {nullptr, true};
     }
-    const placement_request wanted{owner, step, task, step_number, now};
+    const placement_request wanted{owner, step, task, step_number, now, options.remote_factor};
     const auto best = find_best(*ranking, speeds, wanted, step.demand.cpu_milli,
                                 [&](const endpoint& it)
                                 { return can_start_now(it, owner, step, step_number, now); });
--- a/savoryreach/dispatch/placement.hpp
+++ b/savoryreach/dispatch/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYREACH_DISPATCH_PLACEMENT_HPP
 #define SAVORYREACH_DISPATCH_PLACEMENT_HPP
 
+#include "savoryreach/dispatch/dispatcher_options.hpp"
 #include "savoryreach/dispatch/endpoint_table.hpp"
 #include "savoryreach/dispatch/job.hpp"
 #include "savoryreach/dispatch/placement_index.hpp"
@@ -26,7 +27,7 @@
 [[nodiscard]] placement choose_endpoint(const placement_index& index, const speed_model& speeds,
                                         const job& owner, const job_step& step,
                                         const job_task& task, std::uint32_t step_number,
-                                        absl::Time now);
+                                        absl::Time now, const dispatcher_options& options);
 
 } // namespace savoryreach::dispatch
 
--- a/tests/dispatch/policy_test.cpp
+++ b/tests/dispatch/policy_test.cpp
@@ -249,7 +249,7 @@
     placement choose()
     {
         index_.rebuild(table_, speeds_);
-        return choose_endpoint(index_, speeds_, owner_, step_, task_, 0, now);
+        return choose_endpoint(index_, speeds_, owner_, step_, task_, 0, now, {});
     }
 
     endpoint_table table_;
