Fronts weigh jobs while no dispatcher answers

Callers saw jobs of 60 to 200 ms wait for up to 1.2 s and then be refused, and requests that were sent to a frozen dispatcher end as 'outcome unknown' although nothing had run. Cause: a front held everything for a fixed time and forwarded to a dispatcher until its last view was 1.2 s old. It now stops after 450 ms of silence, refuses at once what the expected pause makes useless, bounds the held work, and spreads the return of refused clients. Only where two or more failures are tolerated.

--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -28,6 +28,9 @@
 /// Lower bound of the time after which a voter is replaced; longer than the restart of a process.
 constexpr absl::Duration min_replace_after = absl::Seconds(2);
 constexpr std::chrono::milliseconds max_front_pause(50);
+/// Deployments that tolerate this many failures have fronts that weigh jobs while no dispatcher
+/// answers: with a smaller core a front holds all.
+constexpr std::uint32_t min_failures_for_grown = 2;
 
 } // namespace
 
@@ -36,7 +39,8 @@
     : io_(io), options_(std::move(options)), clock_(clock), hybrid_(hybrid), events_(clock_),
       locator_(options_.seeds),
       requests_(clock_, *this, events_, metrics_,
-                static_cast<std::uint64_t>(absl::ToUnixNanos(clock_.wall_now()))),
+                static_cast<std::uint64_t>(absl::ToUnixNanos(clock_.wall_now())),
+                options_.tolerated_failures >= min_failures_for_grown),
       ticks_(io)
 {
 }
@@ -134,9 +138,14 @@
     {
         broadcast_core_view();
     }
-    requests_.set_dispatcher(
+    const auto dispatcher =
         is_dispatcher() ? std::optional(dispatch::dispatcher_ref{link_name_, member_->term()})
-                        : locator_.dispatcher(now));
+                        : locator_.dispatcher(now);
+    requests_.set_heard_at(
+        is_dispatcher() || !dispatcher
+            ? now
+            : std::max(locator_.confirmed_at(), hub_->heard_at(dispatcher->name)));
+    requests_.set_dispatcher(dispatcher);
     requests_.tick();
     if (is_dispatcher())
     {
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -588,7 +588,12 @@
         }
         else
         {
-            answer(origin, kind, reason);
+            schema::front_answer out;
+            out.set_kind(kind);
+            out.set_reason(reason);
+            out.set_slack_factor(it->queue.slack_factor());
+            out.set_target_ms(it->queue.target_ms());
+            send_answer(origin, std::move(out));
         }
     }
     events_.record("job_ended",
--- a/savoryreach/dispatch/request_forwarder.cpp
+++ b/savoryreach/dispatch/request_forwarder.cpp
@@ -19,6 +19,8 @@
 /// Retry time for a client whose request is refused because no dispatcher is known.
 constexpr std::uint32_t no_dispatcher_retry_ms = 1000;
 
+constexpr const char* no_dispatcher = "no dispatcher";
+
 /// True for the answers to a job that say that nothing of it has run.
 bool denies_run(schema::answer_kind kind)
 {
@@ -30,10 +32,30 @@
 
 request_forwarder::request_forwarder(const base::clock& clock, request_port& port,
                                      observe::event_sink& events, observe::metrics& metrics,
-                                     std::uint64_t first_number)
+                                     std::uint64_t first_number, bool weighs_jobs)
     : clock_(clock), port_(port), events_(events), metrics_(metrics), last_number_(first_number),
-      dispatcher_lost_at_(clock.now())
+      weighs_jobs_(weighs_jobs), dispatcher_lost_at_(clock.now()), pause_(clock.now())
+{
+}
+
+bool request_forwarder::is_answering() const
 {
+    return dispatcher_ && (!weighs_jobs_ || clock_.now() < heard_at_ + max_silence);
+}
+
+bool request_forwarder::is_weighed(const open_request& it) const
+{
+    return weighs_jobs_ && it.term == 0 && it.request.has_submit();
+}
+
+double request_forwarder::held_work() const
+{
+    double out = 0.0;
+    for (const auto& [number, it] : requests_)
+    {
+        out += it.term == 0 ? it.job.work : 0.0;
+    }
+    return out;
 }
 
 std::uint64_t request_forwarder::add(schema::front_request request, absl::Time answer_by,
@@ -47,30 +69,81 @@
     it.read_at = now;
     it.answer_by = answer_by;
     it.handler = std::move(on_answer);
-    if (dispatcher_)
+    if (it.request.has_submit())
+    {
+        it.job = held_job_of(it.request.submit(), now, answer_by);
+    }
+    update_pause();
+    if (is_answering() || (dispatcher_ && !is_weighed(it)))
     {
         forward(it);
     }
+    else if (is_weighed(it))
+    {
+        if (!pause_.is_worth_holding(it.job, held_work() - it.job.work, now))
+        {
+            refuse(number, "would end too late after the change of the dispatcher");
+        }
+    }
     else if (now >= dispatcher_lost_at_ + max_dispatcher_wait)
     {
-        refuse(number);
+        refuse(number, no_dispatcher);
     }
     return number;
 }
 
-void request_forwarder::refuse(std::uint64_t number)
+void request_forwarder::update_pause()
 {
-    const auto& request = requests_.at(number).request;
-    constexpr const char* reason = "no dispatcher";
-    if (request.has_submit())
+    const auto now = clock_.now();
+    if (!weighs_jobs_ || is_answering() != pause_.is_paused())
+    {
+        return;
+    }
+    if (!is_answering())
     {
-        events_.record("job_refused", {{"submission", format_job_id(request.submit().spec().id())},
-                                       {"reason", reason},
-                                       {"retry_ms", absl::StrCat(no_dispatcher_retry_ms)}});
+        pause_.begin(dispatcher_ ? heard_at_ : dispatcher_lost_at_);
+        events_.record("dispatcher_silent",
+                       {{"peer", dispatcher_ ? dispatcher_->name : ""},
+                        {"expected_ms",
+                         absl::StrCat(absl::ToInt64Milliseconds(pause_.expected_end(now) - now))}});
+        return;
+    }
+    pause_.end(now);
+    events_.record("dispatcher_answers",
+                   {{"peer", dispatcher_->name}, {"held_core_s", absl::StrCat(held_work())}});
+    for (auto& [number, it] : requests_)
+    {
+        if (it.term == 0)
+        {
+            forward(it);
+        }
+    }
+}
+
+void request_forwarder::refuse(std::uint64_t number, const std::string& reason)
+{
+    const auto& it = requests_.at(number);
+    auto retry_ms = no_dispatcher_retry_ms;
+    if (is_weighed(it))
+    {
+        // Job ids are random, so that they spread the clients evenly.
+        constexpr std::uint64_t steps = 1024;
+        const double spread = static_cast<double>(it.request.submit().spec().id() % steps) / steps;
+        retry_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(
+            pause_.retry_after(held_work() - it.job.work, spread, clock_.now())));
+        ++metrics_.counter_of("savoryreach_pause_refusals_total",
+                              "jobs refused while no dispatcher answers");
+    }
+    if (it.request.has_submit())
+    {
+        events_.record("job_refused",
+                       {{"submission", format_job_id(it.request.submit().spec().id())},
+                        {"reason", reason},
+                        {"retry_ms", absl::StrCat(retry_ms)}});
     }
     schema::front_answer answer;
     answer.set_kind(schema::answer_not_ready);
-    answer.set_retry_after_ms(no_dispatcher_retry_ms);
+    answer.set_retry_after_ms(retry_ms);
     answer.set_reason(reason);
     finish(number, answer);
 }
@@ -139,6 +212,10 @@
         return;
     }
     record_answer(it->second, answer.kind());
+    if (answer.kind() == schema::answer_completed && it->second.request.has_submit())
+    {
+        pause_.on_job_done(it->second.job, answer, clock_.now());
+    }
     auto handler = std::move(it->second.handler);
     requests_.erase(it);
     handler(answer);
@@ -177,21 +254,26 @@
             forward(it);
         }
     }
+    update_pause();
 }
 
 void request_forwarder::tick()
 {
+    update_pause();
     const auto now = clock_.now();
+    const auto expected_end = pause_.expected_end(now);
     std::vector<std::pair<std::uint64_t, bool>> expired;
     for (auto& [number, it] : requests_)
     {
         const bool refused =
-            !dispatcher_ && it.term == 0 && now >= dispatcher_lost_at_ + max_dispatcher_wait;
+            is_weighed(it)
+                ? !is_answering() && expected_end > pause_.needed_by(it.job)
+                : !dispatcher_ && it.term == 0 && now >= dispatcher_lost_at_ + max_dispatcher_wait;
         if (now >= it.answer_by || refused)
         {
             expired.emplace_back(number, it.term != 0);
         }
-        else if (dispatcher_ && now >= it.resend_at)
+        else if (dispatcher_ && now >= it.resend_at && (is_answering() || !is_weighed(it)))
         {
             forward(it);
         }
@@ -200,7 +282,7 @@
     {
         if (!forwarded)
         {
-            refuse(number);
+            refuse(number, no_dispatcher);
             continue;
         }
         // Abandons the request, since the dispatcher may still work on it.
--- a/savoryreach/dispatch/request_forwarder.hpp
+++ b/savoryreach/dispatch/request_forwarder.hpp
@@ -3,6 +3,7 @@
 
 #include "savoryreach/base/clock.hpp"
 #include "savoryreach/dispatch/core_locator.hpp"
+#include "savoryreach/dispatch/pause_policy.hpp"
 #include "savoryreach/observe/event_sink.hpp"
 #include "savoryreach/observe/metrics.hpp"
 #include "schema/generated/dispatch.pb.h"
@@ -36,8 +37,11 @@
 public:
     using answer_handler = std::function<void(const schema::front_answer&)>;
 
+    /// With \p weighs_jobs, jobs that arrive while no dispatcher answers are held or refused by the
+    /// pause_policy; otherwise all are held for max_dispatcher_wait.
     request_forwarder(const base::clock& clock, request_port& port, observe::event_sink& events,
-                      observe::metrics& metrics, std::uint64_t first_number);
+                      observe::metrics& metrics, std::uint64_t first_number,
+                      bool weighs_jobs = false);
 
     /// Adds a request that must be answered by \p answer_by, and returns its number. Calls
     /// \p on_answer once, possibly before this function returns; never after abandon().
@@ -48,6 +52,9 @@
     void on_answer(const schema::front_answer& answer);
     /// Sets the current dispatcher; nullopt if it is unknown.
     void set_dispatcher(const std::optional<dispatcher_ref>& current);
+    /// Sets when the current dispatcher was last heard. Jobs are not forwarded to one that is
+    /// silent, so that they can still be refused or go to the next one.
+    void set_heard_at(absl::Time it) { heard_at_ = it; }
     void tick();
 
     [[nodiscard]] std::size_t pending() const { return requests_.size(); }
@@ -56,6 +63,9 @@
     /// Requests are refused at once when no dispatcher has been known for this time: an election
     /// takes 0.5 to 0.9 s, and the first message of the new leader 0.1 s.
     static constexpr absl::Duration max_dispatcher_wait = absl::Milliseconds(1200);
+    /// A dispatcher of which nothing was heard for this time is silent: it sends its view of the
+    /// core every 250 ms.
+    static constexpr absl::Duration max_silence = absl::Milliseconds(450);
 
 private:
     struct open_request
@@ -65,6 +75,7 @@
         absl::Time answer_by;
         absl::Time resend_at = absl::InfinitePast();
         std::uint64_t term = 0; ///< of the dispatcher it was last forwarded to; 0 for none
+        held_job job;           ///< only of a submission
         answer_handler handler;
     };
 
@@ -72,15 +83,25 @@
     void finish(std::uint64_t number, const schema::front_answer& answer);
     void record_answer(const open_request& it, schema::answer_kind kind);
     /// Answers a request that was never forwarded.
-    void refuse(std::uint64_t number);
+    void refuse(std::uint64_t number, const std::string& reason);
+    [[nodiscard]] bool is_answering() const;
+    /// True for a job that was never forwarded and that the pause policy judges.
+    [[nodiscard]] bool is_weighed(const open_request& it) const;
+    /// Core-seconds of the jobs that are held.
+    [[nodiscard]] double held_work() const;
+    /// Begins or ends the pause when the dispatcher falls silent or is heard again.
+    void update_pause();
 
     const base::clock& clock_;
     request_port& port_;
     observe::event_sink& events_;
     observe::metrics& metrics_;
     std::uint64_t last_number_;
+    bool weighs_jobs_;
     std::optional<dispatcher_ref> dispatcher_;
     absl::Time dispatcher_lost_at_;
+    absl::Time heard_at_ = absl::InfiniteFuture();
+    pause_policy pause_;
     absl::btree_map<std::uint64_t, open_request> requests_;
 };
 
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -12,6 +12,7 @@
   dispatch/job.cpp
   dispatch/job_table.cpp
   dispatch/offered_load.cpp
+  dispatch/pause_policy.cpp
   dispatch/placement.cpp
   dispatch/placement_index.cpp
   dispatch/queue_router.cpp
--- a/savoryreach/keeper/ledger.cpp
+++ b/savoryreach/keeper/ledger.cpp
@@ -55,6 +55,7 @@
     // Commands of a dispatcher's core, which has a state machine of its own.
     case schema::command::kFleetConfig:
     case schema::command::kHostChange:
+    case schema::command::kEvacuationChange:
     case schema::command::kNoOp:
     case schema::command::kKeepers:
     case schema::command::BODY_NOT_SET:
--- a/tests/dispatch/sources.cmake
+++ b/tests/dispatch/sources.cmake
@@ -5,4 +5,5 @@
   dispatch/fake_endpoint.cpp
   dispatch/fleet_test.cpp
   dispatch/fleet_world.cpp
+  dispatch/pause_policy_test.cpp
   dispatch/policy_test.cpp)
