Cold endpoints: agents report the cold time, the speed model learns their slowness apart

Callers saw endpoints that come back after a start or an evacuation get as much work as warm ones, and little for a while afterwards. Cause: the heartbeat's cold time was parsed and dropped, so runs on a cold endpoint lowered the speed estimate of the warm one, at the dispatcher and at its agent. The agent keeps the cold time as a deadline, reports what is left of it and leaves such runs out of its estimate. The speed model learns one factor for cold endpoints from runs that began and ended on them.

--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -92,7 +92,7 @@
         return;
     }
     extend_place();
-    const bool changed = status.draining != status_.draining ||
+    const bool changed = update_cold_time(status) || status.draining != status_.draining ||
                          status.capacity != status_.capacity || status.service != status_.service;
     status_ = status;
     set_endpoint_clock(status.clock_ms);
@@ -131,6 +131,18 @@
     return status.service == status_.service ? nullptr : "another service";
 }
 
+bool endpoint_agent::update_cold_time(const endpoint_status& status)
+{
+    /// Heartbeats of the same cold time differ by their transit times.
+    constexpr absl::Duration tolerance = absl::Milliseconds(300);
+    const auto now = clock_.now();
+    const auto before = std::max(cold_until_, now);
+    // Runs that began before a past end of the cold time are still known as such.
+    cold_until_ = status.cold_remaining_ms > 0 ? now + absl::Milliseconds(status.cold_remaining_ms)
+                                               : std::min(cold_until_, now);
+    return absl::AbsDuration(std::max(cold_until_, now) - before) > tolerance;
+}
+
 void endpoint_agent::extend_place()
 {
     keeps_place_until_ = clock_.now() + options_.heartbeat_interval * kept_heartbeat_intervals;
@@ -144,6 +156,8 @@
     left_ = false;
     extend_place();
     set_endpoint_clock(status.clock_ms);
+    cold_until_ = other ? absl::InfinitePast() : cold_until_;
+    update_cold_time(status);
     events_.record("endpoint_incarnation", {{"endpoint", status.id},
                                             {"born_ms", absl::StrCat(status.born_ms)},
                                             {"service", status.service}});
@@ -482,7 +496,8 @@
         {
             end.set_ran_ms(static_cast<std::uint32_t>(
                 std::max<std::int64_t>(absl::ToInt64Milliseconds(*ran), 1)));
-            if (it.declared > absl::ZeroDuration())
+            const bool began_cold = it.confirmed_at < cold_until_;
+            if (it.declared > absl::ZeroDuration() && !began_cold)
             {
                 speed_.learn(single_key, single_key, task.job, it.declared, *ran);
             }
@@ -795,6 +810,8 @@
     {
         report.add_labels(it);
     }
+    const auto cold = std::max(cold_until_ - clock_.now(), absl::ZeroDuration());
+    report.set_cold_remaining_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(cold)));
     if (speed_.has_estimate(single_key))
     {
         report.set_speed_milli(static_cast<std::uint32_t>(speed_.speed(single_key) * milli));
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -85,6 +85,8 @@
     /// if it does.
     [[nodiscard]] const char* rejection_reason(const endpoint_status& status) const;
     void extend_place();
+    /// Takes the end of the cold time from \p status; true if it has changed noticeably.
+    bool update_cold_time(const endpoint_status& status);
     void handle_start_order(const schema::start_order& order, const std::string& payload);
     void send_start(tracked_run& it);
     void send_stop(const task_id& task, tracked_run& it);
@@ -126,6 +128,7 @@
     absl::Time keeps_place_until_; ///< against heartbeats of other incarnations
     std::int64_t clock_ms_ = 0;    ///< the endpoint's clock at local time clock_at_
     absl::Time clock_at_;
+    absl::Time cold_until_ = absl::InfinitePast(); ///< by the latest heartbeat
 
     std::string dispatcher_;
     std::uint64_t term_ = 0;
--- a/savoryreach/dispatch/endpoint_calls.hpp
+++ b/savoryreach/dispatch/endpoint_calls.hpp
@@ -23,6 +23,8 @@
     bool draining = false;
     resources capacity;
     std::vector<std::string> labels;
+    /// How much longer it will be slow after its start, milliseconds.
+    std::uint32_t cold_remaining_ms = 0;
     std::int64_t clock_ms = 0;  ///< steady clock of the endpoint
     std::uint64_t sequence = 0; ///< increases within an incarnation
 
--- a/savoryreach/dispatch/speed_model.cpp
+++ b/savoryreach/dispatch/speed_model.cpp
@@ -26,6 +26,8 @@
 constexpr double bias_weight = 0.02;
 /// Weight of the bound given by running tasks, which is applied every 50 ms.
 constexpr double slowness_weight = 0.3;
+/// Least weight of a sample in the slowness of cold endpoints: it follows about the last 50 tasks.
+constexpr double cold_weight = 0.02;
 /// Samples that are added to a queue's count, so that its first samples weigh little.
 constexpr double bias_warm_up = 50.0;
 /// Greatest deviation that counts in the variance: a greater one is a change of the endpoint.
@@ -51,12 +53,18 @@
     return percent >= min_percent ? std::optional(ran * whole_percent / percent) : std::nullopt;
 }
 
-double speed_model::log_speed(const std::string& endpoint) const
+double speed_model::log_warm_speed(const std::string& endpoint) const
 {
     const auto it = endpoints_.find(endpoint);
     return it == endpoints_.end() ? 0.0 : it->second.log_value;
 }
 
+double speed_model::log_speed(const std::string& endpoint) const
+{
+    const bool is_cold = !cold_.empty() && cold_.contains(endpoint);
+    return log_warm_speed(endpoint) - (is_cold ? log_cold_ : 0.0);
+}
+
 double speed_model::log_bias(const std::string& queue) const
 {
     const auto it = queues_.find(queue);
@@ -98,9 +106,39 @@
     }
 }
 
+bool speed_model::set_cold(const std::string& endpoint, bool cold)
+{
+    if (!cold)
+    {
+        return cold_.erase(endpoint) > 0;
+    }
+    const bool changed = cold_.insert(endpoint).second;
+    if (const auto it = endpoints_.find(endpoint); changed && it != endpoints_.end())
+    {
+        // The runs of which it was not yet known that they were on a cold endpoint.
+        it->second.log_value = it->second.log_long_term;
+    }
+    return changed;
+}
+
+void speed_model::learn_cold(const std::string& endpoint, const std::string& queue,
+                             absl::Duration declared, absl::Duration actual)
+{
+    const double sample = log_ratio(declared, actual) - log_bias(queue) + log_warm_speed(endpoint);
+    ++cold_samples_;
+    log_cold_ += std::max(cold_weight, 1.0 / (1.0 + cold_samples_)) * (sample - log_cold_);
+    log_cold_ = std::clamp(log_cold_, 0.0, largest_log_ratio);
+}
+
+double speed_model::cold_speed() const
+{
+    return std::exp(-log_cold_);
+}
+
 void speed_model::forget(const std::string& endpoint)
 {
     endpoints_.erase(endpoint);
+    cold_.erase(endpoint);
 }
 
 void speed_model::import_estimate(const std::string& endpoint, double speed)
--- a/savoryreach/dispatch/speed_model.hpp
+++ b/savoryreach/dispatch/speed_model.hpp
@@ -2,6 +2,7 @@
 #define SAVORYREACH_DISPATCH_SPEED_MODEL_HPP
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -18,6 +19,7 @@
 
 /// Estimates the speed of each endpoint and the bias of each queue's declared times from the run
 /// times of tasks. Averages logarithms, so that a factor of two weighs the same in both directions.
+/// Load pattern of cold endpoints: a third of the endpoints comes back at once, slow for seconds.
 class speed_model
 {
 public:
@@ -30,6 +32,15 @@
     /// current runs has the declared time \p declared and takes at least \p elapsed.
     void learn_slowness(const std::string& endpoint, const std::string& queue,
                         absl::Duration declared, absl::Duration elapsed);
+    /// Sets whether \p endpoint is cold: slower for a while after its start. Returns true if that
+    /// is a change.
+    bool set_cold(const std::string& endpoint, bool cold);
+    /// Adds a sample of a run that began and ended while \p endpoint was cold. It tells how much
+    /// slower cold endpoints are, and leaves the speed of the warm endpoint as it is.
+    void learn_cold(const std::string& endpoint, const std::string& queue, absl::Duration declared,
+                    absl::Duration actual);
+    /// Speed of cold endpoints relative to the same endpoints when warm; 1 until it is learned.
+    [[nodiscard]] double cold_speed() const;
     void forget(const std::string& endpoint);
     /// Sets the speed of an endpoint without an estimate to one made by another process.
     void import_estimate(const std::string& endpoint, double speed);
@@ -60,10 +71,14 @@
     };
 
     [[nodiscard]] double log_speed(const std::string& endpoint) const;
+    [[nodiscard]] double log_warm_speed(const std::string& endpoint) const;
     [[nodiscard]] double log_bias(const std::string& queue) const;
 
     absl::flat_hash_map<std::string, estimate> endpoints_;
     absl::flat_hash_map<std::string, estimate> queues_;
+    absl::flat_hash_set<std::string> cold_;
+    double log_cold_ = 0.0; ///< logarithm of how many times longer runs take on cold endpoints
+    std::uint32_t cold_samples_ = 0;
     double variance_ = 0.0; ///< of the logarithm of actual over expected run time
 };
 
--- a/tests/dispatch/policy_test.cpp
+++ b/tests/dispatch/policy_test.cpp
@@ -96,6 +96,27 @@
     EXPECT_NEAR(model_.throughput("h"), 0.8, 0.12); // two tasks in 250 ms
 }
 
+// Runs on cold endpoints lowered the estimate of the warm endpoint, which then got little work.
+TEST_F(speeds, slowness_of_cold_endpoints_is_learned_apart_from_their_speed)
+{
+    const auto declared = absl::Milliseconds(100);
+    learn("h", declared, 40);
+    const auto warm = model_.speed("h");
+    EXPECT_TRUE(model_.set_cold("h", true));
+    EXPECT_DOUBLE_EQ(model_.speed("h"), warm); // nothing is known of cold endpoints
+    for (int n = 0; n < 30; ++n)
+    {
+        model_.learn_cold("h", "q", declared, 3 * declared);
+    }
+    EXPECT_NEAR(model_.cold_speed(), 1.0 / 3.0, 0.03);
+    EXPECT_NEAR(model_.speed("h"), warm / 3.0, 0.05);
+    EXPECT_GT(model_.expected("h", "q", declared), 2.7 * declared);
+    model_.set_cold("other", true);
+    EXPECT_LT(model_.speed("other"), 0.5);
+    EXPECT_TRUE(model_.set_cold("h", false));
+    EXPECT_DOUBLE_EQ(model_.speed("h"), warm);
+}
+
 class offered : public ::testing::Test
 {
 protected:
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -366,6 +366,17 @@
     EXPECT_EQ(status->capacity.cpu_milli, 64000);
     EXPECT_EQ(status->born_ms, 17);
     EXPECT_EQ(status->labels.size(), 2U);
+    EXPECT_EQ(status->cold_remaining_ms, 0U);
+}
+
+TEST_F(endpoint_messages, cold_time_of_a_heartbeat_is_read)
+{
+    for (const auto& [text, ms] : {std::pair("1500", 1500U), {"0.4", 0U}, {"-3", 0U}})
+    {
+        const auto status = decode_status("i-1", heartbeat("coldRemainingMs", text), error_);
+        ASSERT_TRUE(status) << error_;
+        EXPECT_EQ(status->cold_remaining_ms, ms);
+    }
 }
 
 TEST_F(endpoint_messages, malformed_heartbeat_is_refused)
