Data centres can be evacuated and taken back

Operators' calls to evacuate a data centre were answered 404, and tasks went on starting there.

Jobs without any other endpoint are refused at once. Late copies: orders have no version, so a copy that was in transit for a second could undo a newer order. An order is taken only after its front has repeated a stamp of the dispatcher while it still held the order; the front gives it up when it has answered or the operator has closed the connection. Placement and admission also use the cold time that endpoints report. Served only where the settings bound the time to take effect; elsewhere the calls stay 404.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -174,6 +174,10 @@
                              config.data_folder, config.first_start, config.tolerated_failures,
                              config.catch_up, dispatcher_options_of(config)});
     platform::front_api api(io, node);
+    if (config.evacuation_delay > absl::ZeroDuration())
+    {
+        api.serve_evacuations(config.data_centres);
+    }
     if (const auto error = node.start())
     {
         return start_failed(*error);
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -353,8 +353,15 @@
     gauge("savoryreach_jobs", "jobs accepted and not ended", static_cast<double>(counts.jobs));
     gauge("savoryreach_endpoints", "hosts that may run tasks",
           static_cast<double>(counts.endpoints));
+    for (const auto& [state, number] : dispatcher_->endpoints_by_state())
+    {
+        metrics_.gauge_of("savoryreach_endpoints_by_state", "endpoints of the dispatcher, by state",
+                          {{"state", state}}) = static_cast<double>(number);
+    }
     if (member_)
     {
+        gauge("savoryreach_evacuated_data_centres", "data centres that are being evacuated",
+              static_cast<double>(member_->store().evacuated().size()));
         const auto failed_since = member_->failed_since();
         gauge("savoryreach_storage_failed_seconds",
               "time for which the disk has refused writes and this member has not counted",
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "savoryreach/dispatch/placement.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <cassert>
@@ -53,6 +54,7 @@
     orphans_expire_at_ = now + orphan_retention;
     router_.load(store_.config());
     applied_version_ = store_.config().version();
+    obeyed_evacuations_ = store_.evacuated();
     for (const auto& it : store_.hosts())
     {
         auto& target = endpoints_.get(it);
@@ -63,7 +65,8 @@
     events_.record("dispatcher_started",
                    {{"term", absl::StrCat(term)},
                     {"hosts", absl::StrCat(store_.hosts().size())},
-                    {"config_version", absl::StrCat(store_.config().version())}});
+                    {"config_version", absl::StrCat(store_.config().version())},
+                    {"evacuated", absl::StrJoin(store_.evacuated(), ",")}});
 }
 
 void dispatcher::stop_leading()
@@ -88,6 +91,7 @@
     refused_order_.clear();
     orphan_ends_.clear();
     pending_changes_.clear();
+    evacuation_orders_.clear();
     speeds_ = {};
     offered_ = {};
 }
@@ -124,6 +128,10 @@
 
 absl::Duration dispatcher::drain_time()
 {
+    if (!obeyed_evacuations_.empty() && rate() <= 0.0)
+    {
+        return max_retry;
+    }
     const double work = jobs_.work_waiting() + jobs_.deferred_work();
     return std::min(absl::Seconds(work / std::max(rate(), 1.0)), max_retry);
 }
@@ -154,6 +162,9 @@
     case schema::front_request::kApply:
         apply_config(origin, request.apply());
         break;
+    case schema::front_request::kEvacuation:
+        order_evacuation(origin, request);
+        break;
     case schema::front_request::kRead:
     {
         schema::front_answer out;
@@ -345,6 +356,11 @@
                "it would end too late to be of use");
         return;
     }
+    if (refusable && may_start() && is_evacuated(queue.service()))
+    {
+        refuse(origin, it.id, schema::answer_refused, max_retry, "all endpoints are evacuated");
+        return;
+    }
     it.deferred = !can_meet_objective(it, now);
     const auto usable_rate = rate();
     offered_.add(queue.name(), it.work, now);
@@ -533,6 +549,14 @@
                        {{"version", absl::StrCat(applied_version_)},
                         {"queues", absl::StrCat(store_.config().queues_size())}});
     }
+    if (store_.evacuated() != obeyed_evacuations_)
+    {
+        obey_evacuations();
+    }
+    for (const auto& it : evacuation_orders_.on_applied(index))
+    {
+        answer(it, schema::answer_done);
+    }
     std::erase_if(pending_changes_,
                   [&](const pending_change& it)
                   {
@@ -813,6 +837,10 @@
     {
         next_check_at_ = now + check_interval;
         remove_expired();
+        for (const auto& [host, it] : endpoints_.all())
+        {
+            update_coldness(*it);
+        }
         check_runs();
         placement_due_ = placement_due_ || jobs_.has_waiting();
     }
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "savoryreach/dispatch/admission.hpp"
 #include "savoryreach/dispatch/dispatcher_options.hpp"
 #include "savoryreach/dispatch/endpoint_table.hpp"
+#include "savoryreach/dispatch/evacuation_orders.hpp"
 #include "savoryreach/dispatch/fleet_store.hpp"
 #include "savoryreach/dispatch/job_table.hpp"
 #include "savoryreach/dispatch/offered_load.hpp"
@@ -17,6 +18,7 @@
 #include "schema/generated/ledger.pb.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
@@ -86,6 +88,10 @@
 
     [[nodiscard]] bool is_leading() const { return leading_; }
     [[nodiscard]] dispatcher_counts counts() const;
+    /// Number of endpoints in each state, by the name of the state. An endpoint to which several
+    /// apply counts in the first of: unlinked, draining, evacuated, silent, set_aside, cold,
+    /// usable.
+    [[nodiscard]] absl::btree_map<std::string, std::size_t> endpoints_by_state() const;
     /// Speed of the endpoint on \p host, relative to the declared run times.
     [[nodiscard]] double speed_of(const std::string& host) const { return speeds_.speed(host); }
 
@@ -139,6 +145,15 @@
     void cancel(const request_ref& origin, const schema::cancel_job& request);
     void count_pending(const request_ref& origin, const schema::count_pending& request);
     void apply_config(const request_ref& origin, const schema::apply_fleet_config& request);
+    void order_evacuation(const request_ref& origin, const schema::front_request& request);
+    /// Applies the evacuations in the store to the endpoints and the waiting jobs.
+    void obey_evacuations();
+    /// Refuses the jobs of which nothing has run and whose endpoints are all evacuated.
+    void refuse_evacuated_jobs();
+    /// True if \p service has endpoints, all of them in data centres that are being evacuated.
+    [[nodiscard]] bool is_evacuated(const std::string& service) const;
+    /// Tells the speed model whether an endpoint is cold.
+    void update_coldness(const endpoint& it);
     void answer(const request_ref& origin, schema::answer_kind kind,
                 const std::string& reason = {});
     void send_answer(const request_ref& origin, schema::front_answer out);
@@ -224,6 +239,8 @@
     /// Ends of runs of an earlier term whose jobs have not been submitted to this dispatcher yet.
     absl::flat_hash_map<task_id, schema::run_outcome> orphan_ends_;
     std::vector<pending_change> pending_changes_;
+    evacuation_orders evacuation_orders_;
+    absl::btree_set<std::string> obeyed_evacuations_; ///< what the endpoints show
     dispatcher_counts counts_;
 };
 
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -75,7 +75,9 @@
     for (const auto& [id, run] : it.runs)
     {
         // A run without progress may be over, with its end still in transit.
-        if (run.has_progress() && !run.stopping && !run.queue.empty())
+        // One that began on a cold endpoint says nothing of the warm one.
+        if (run.has_progress() && !run.stopping && !run.queue.empty() &&
+            !run.began_before(it.cold_until))
         {
             const auto expected = speeds.expected(it.host, run.queue, run.declared);
             const std::pair<double, const task_run*> lateness(
@@ -284,6 +286,21 @@
     }
     it.service = report.service();
     it.data_centre = report.data_centre();
+    if (report.cold_remaining_ms() > 0)
+    {
+        it.cold_until = clock_.now() + absl::Milliseconds(report.cold_remaining_ms());
+    }
+    else
+    {
+        it.cold_until = std::min(it.cold_until, clock_.now());
+    }
+    update_coldness(it);
+    if (const bool evacuated = obeyed_evacuations_.contains(it.data_centre);
+        evacuated != it.evacuated)
+    {
+        it.evacuated = evacuated;
+        invalidate_index();
+    }
     it.labels.assign(report.labels().begin(), report.labels().end());
     it.capacity = capacity;
     if (report.draining() != it.draining || report.silent() != it.silent ||
@@ -329,6 +346,10 @@
     invalidate_index();
     it.has_unknown_runs = false;
     placement_due_ = true;
+    if (may_start())
+    {
+        refuse_evacuated_jobs();
+    }
 }
 
 /// Adds a run that an earlier dispatcher ordered, and adopts it if its job is known and its task
@@ -454,10 +475,14 @@
     --step.unfinished;
     owner->had_success = true;
     it.health.on_success();
-    if (!ended.queue.empty() && end.ran_ms() > 0)
+    const auto ran = absl::Milliseconds(end.ran_ms());
+    if (!ended.queue.empty() && end.ran_ms() > 0 && !ended.began_before(it.cold_until))
+    {
+        speeds_.learn(it.host, ended.queue, id.job, ended.declared, ran);
+    }
+    else if (!ended.queue.empty() && end.ran_ms() > 0 && clock_.now() <= it.cold_until)
     {
-        speeds_.learn(it.host, ended.queue, id.job, ended.declared,
-                      absl::Milliseconds(end.ran_ms()));
+        speeds_.learn_cold(it.host, ended.queue, ended.declared, ran);
     }
     if (step.unfinished == 0)
     {
@@ -674,6 +699,7 @@
                                        {"capacity_milli", absl::StrCat(capacity.cpu_milli)},
                                        {"unconfirmed", absl::StrCat(unconfirmed)},
                                        {"stopping", absl::StrCat(stopping)},
+                                       {"cold_speed", absl::StrCat(speeds_.cold_speed())},
                                        {"slowest", slowest},
                                        {"slowest_speed", absl::StrCat(least)}});
 }
@@ -707,6 +733,10 @@
         port_.propose(std::move(command));
         placement_due_ = true;
     }
+    if (!gone_hosts.empty() && may_start())
+    {
+        refuse_evacuated_jobs();
+    }
     while (!ended_order_.empty())
     {
         const auto it = ended_.find(ended_order_.front());
--- a/savoryreach/dispatch/endpoint_table.hpp
+++ b/savoryreach/dispatch/endpoint_table.hpp
@@ -42,6 +42,11 @@
     bool stopping = false;
     absl::Time stop_resend_at; ///< while stopping: when the stop order is repeated
 
+    /// True for a run that began while its endpoint was cold.
+    [[nodiscard]] bool began_before(absl::Time cold_until) const
+    {
+        return is_confirmed() && confirmed_at < cold_until;
+    }
     [[nodiscard]] bool is_confirmed() const { return confirmed_at != absl::InfiniteFuture(); }
     [[nodiscard]] bool has_progress() const { return reported_at != absl::UnixEpoch(); }
     /// Records a report received at \p now: \p share percent were done \p ran after the start.
@@ -88,7 +93,9 @@
     bool draining = false;
     bool silent = false; ///< does not answer its agent
     bool left = false;
-    bool listed = false;           ///< its run list arrived in the current session
+    bool evacuated = false;                       ///< its data centre is being evacuated
+    absl::Time cold_until = absl::InfinitePast(); ///< it is slow after its start until then
+    bool listed = false;                          ///< its run list arrived in the current session
     bool registered = false;       ///< the replicated log records that it may have runs
     bool registering = false;      ///< its registration was proposed to the log
     bool has_unknown_runs = false; ///< may have unlisted runs of an earlier term
--- a/savoryreach/dispatch/fleet_store.cpp
+++ b/savoryreach/dispatch/fleet_store.cpp
@@ -18,6 +18,18 @@
     {
         hosts_.erase(it);
     }
+    if (command.has_evacuation_change())
+    {
+        const auto& change = command.evacuation_change();
+        if (change.ends())
+        {
+            evacuated_.erase(change.data_centre());
+        }
+        else
+        {
+            evacuated_.insert(change.data_centre());
+        }
+    }
 }
 
 void fleet_store::save(schema::ledger_snapshot& snapshot) const
@@ -28,6 +40,10 @@
     {
         state.add_hosts(it);
     }
+    for (const auto& it : evacuated_)
+    {
+        state.add_evacuated(it);
+    }
 }
 
 bool fleet_store::load(const schema::ledger_snapshot& snapshot)
@@ -35,6 +51,8 @@
     config_ = snapshot.fleet().config();
     hosts_.clear();
     hosts_.insert(snapshot.fleet().hosts().begin(), snapshot.fleet().hosts().end());
+    evacuated_.clear();
+    evacuated_.insert(snapshot.fleet().evacuated().begin(), snapshot.fleet().evacuated().end());
     return true;
 }
 
--- a/savoryreach/dispatch/placement_index.cpp
+++ b/savoryreach/dispatch/placement_index.cpp
@@ -62,7 +62,10 @@
     absl::btree_map<std::string, std::vector<std::pair<double, endpoint*>>> by_service;
     for (auto& [host, it] : table.all())
     {
-        by_service[it->service].emplace_back(speeds.speed(host), it.get());
+        if (!it->evacuated)
+        {
+            by_service[it->service].emplace_back(speeds.speed(host), it.get());
+        }
     }
     for (auto& [service, endpoints] : by_service)
     {
--- a/savoryreach/dispatch/request_forwarder.cpp
+++ b/savoryreach/dispatch/request_forwarder.cpp
@@ -148,10 +148,12 @@
     finish(number, answer);
 }
 
-void request_forwarder::forward(open_request& it)
+void request_forwarder::forward(open_request& it, std::int64_t confirmed_stamp_us)
 {
     const auto now = clock_.now();
     auto request = it.request;
+    const auto remaining_ms = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(absl::ToInt64Milliseconds(it.answer_by - now), 0, UINT32_MAX));
     request.set_may_have_run(it.term != 0);
     it.term = dispatcher_->term;
     it.resend_at = now + resend_interval;
@@ -160,12 +162,25 @@
     {
         auto& submit = *request.mutable_submit();
         submit.set_age_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - it.read_at)));
-        submit.set_remaining_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-            absl::ToInt64Milliseconds(it.answer_by - now), 0, UINT32_MAX)));
+        submit.set_remaining_ms(remaining_ms);
+    }
+    if (request.has_evacuation())
+    {
+        request.set_remaining_ms(remaining_ms);
+        request.set_confirmed_stamp_us(confirmed_stamp_us);
     }
     port_.send_request(dispatcher_->name, std::move(request));
 }
 
+void request_forwarder::confirm(open_request& it, const schema::front_answer& question)
+{
+    // A question of an earlier dispatcher is void: the current one has a copy and asks by itself.
+    if (dispatcher_ && question.term() == dispatcher_->term && it.term == dispatcher_->term)
+    {
+        forward(it, question.stamp_us());
+    }
+}
+
 void request_forwarder::abandon(std::uint64_t number)
 {
     const auto it = requests_.find(number);
@@ -191,6 +206,11 @@
     {
         return;
     }
+    if (answer.kind() == schema::answer_confirm)
+    {
+        confirm(it->second, answer);
+        return;
+    }
     // A refusal by an earlier dispatcher is outdated: the current one may have started the job.
     if (denies_run(answer.kind()) && it->second.request.has_submit() &&
         answer.term() != it->second.term)
--- a/savoryreach/dispatch/request_forwarder.hpp
+++ b/savoryreach/dispatch/request_forwarder.hpp
@@ -79,7 +79,10 @@
         answer_handler handler;
     };
 
-    void forward(open_request& it);
+    /// Forwards to the current dispatcher, with its stamp if it asked for a confirmation.
+    void forward(open_request& it, std::int64_t confirmed_stamp_us = 0);
+    /// The dispatcher asks whether \p it is still held.
+    void confirm(open_request& it, const schema::front_answer& question);
     void finish(std::uint64_t number, const schema::front_answer& answer);
     void record_answer(const open_request& it, schema::answer_kind kind);
     /// Answers a request that was never forwarded.
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -5,8 +5,10 @@
   dispatch/core_planner.cpp
   dispatch/dispatcher.cpp
   dispatch/dispatcher_endpoints.cpp
+  dispatch/dispatcher_evacuations.cpp
   dispatch/endpoint_agent.cpp
   dispatch/endpoint_table.cpp
+  dispatch/evacuation_orders.cpp
   dispatch/fleet_store.cpp
   dispatch/hold_tracker.cpp
   dispatch/job.cpp
--- a/tests/dispatch/fake_endpoint.cpp
+++ b/tests/dispatch/fake_endpoint.cpp
@@ -32,6 +32,7 @@
 void run_monitor::began(const task_id& task, const std::string& host)
 {
     ++starts_;
+    ++starts_by_host_[host];
     started_[task.job] = true;
     const auto [it, inserted] = running_.try_emplace(task, host);
     if (!inserted)
@@ -66,6 +67,9 @@
     out.id = absl::StrCat("i-", options_.host, "-", incarnation_);
     out.born_ms = born_ms_;
     out.service = "svc";
+    out.data_centre = options_.data_centre;
+    out.cold_remaining_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(
+        std::max(options_.cold_until - clock_.now(), absl::ZeroDuration())));
     out.capacity = options_.capacity;
     out.clock_ms = clock_ms();
     out.sequence = ++sequence_;
@@ -115,7 +119,9 @@
     {
         return {start_result::superseded, now};
     }
-    const auto [length, demand] = properties_(call.task);
+    const auto& [warm_length, demand] = properties_(call.task);
+    const auto length =
+        warm_length * (clock_.now() < options_.cold_until ? options_.cold_factor : 1.0);
     auto used = demand.cpu_milli;
     for (const auto& [task, it] : runs_)
     {
--- a/tests/dispatch/fake_endpoint.hpp
+++ b/tests/dispatch/fake_endpoint.hpp
@@ -47,12 +47,18 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] bool has_started(std::uint64_t job) const { return started_.contains(job); }
     [[nodiscard]] std::uint64_t starts() const { return starts_; }
+    [[nodiscard]] std::uint64_t starts_on(const std::string& host) const
+    {
+        const auto it = starts_by_host_.find(host);
+        return it == starts_by_host_.end() ? 0 : it->second;
+    }
 
 private:
     absl::flat_hash_map<task_id, std::string> running_;
     absl::flat_hash_map<std::uint64_t, bool> started_;
     std::vector<std::string> violations_;
     std::uint64_t starts_ = 0;
+    absl::flat_hash_map<std::string, std::uint64_t> starts_by_host_;
 };
 
 /// An endpoint on virtual time, with leases, lists of runs and ends, and late and unanswered calls.
@@ -62,7 +68,10 @@
     struct options
     {
         std::string host;
+        std::string data_centre;
         double speed = 1.0;
+        absl::Time cold_until = absl::InfinitePast(); ///< runs that begin before take longer
+        double cold_factor = 4.0;                     ///< how many times as long
         resources capacity{64000, 262144, 0};
         double unanswered = 0.0; ///< share of calls executed without an answer
         double late = 0.0;       ///< share of calls executed 2 to 12 s later, without an answer
--- a/tests/dispatch/fleet_world.cpp
+++ b/tests/dispatch/fleet_world.cpp
@@ -62,6 +62,7 @@
         it->name = absl::StrCat("host-", n);
         fake_endpoint::options options;
         options.host = it->name;
+        options.data_centre = absl::StrCat("dc-", n % data_centres);
         options.speed = speeds[n % speeds.size()];
         it->fake = std::make_unique<fake_endpoint>(
             events_, clock_, monitor_, random_.next(), options,
@@ -128,6 +129,27 @@
     propose(config_with(paths));
 }
 
+void fleet_world::order_evacuation(const std::string& data_centre, bool ends)
+{
+    constexpr auto operator_timeout = absl::Milliseconds(900);
+    schema::front_request request;
+    request.mutable_evacuation()->set_data_centre(data_centre);
+    request.mutable_evacuation()->set_ends(ends);
+    front_->add(request, clock_.now() + operator_timeout,
+                [this](const schema::front_answer& it)
+                { evacuation_answers_.push_back(it.kind()); });
+}
+
+std::uint64_t fleet_world::starts_in(const std::string& data_centre) const
+{
+    std::uint64_t out = 0;
+    for (const auto& it : hosts_)
+    {
+        out += it->fake->status().data_centre == data_centre ? monitor_.starts_on(it->name) : 0;
+    }
+    return out;
+}
+
 void fleet_world::every(absl::Duration interval, std::function<void()> action)
 {
     events_.after(interval,
--- a/tests/dispatch/fleet_world.hpp
+++ b/tests/dispatch/fleet_world.hpp
@@ -67,6 +67,16 @@
     void change_dispatcher(absl::Duration outage);
     /// Commits a configuration with the queues of \p paths.
     void set_queues(const std::vector<std::string>& paths);
+    /// Orders to begin or end the evacuation of a data centre; the answer is appended to
+    /// evacuation_answers(). Host n is in data centre "dc-" and n modulo data_centres.
+    void order_evacuation(const std::string& data_centre, bool ends);
+    [[nodiscard]] const std::vector<schema::answer_kind>& evacuation_answers() const
+    {
+        return evacuation_answers_;
+    }
+    /// Number of starts on the endpoints of a data centre.
+    [[nodiscard]] std::uint64_t starts_in(const std::string& data_centre) const;
+    static constexpr std::size_t data_centres = 3;
     /// Cuts or restores the connection between the host's agent and the dispatcher.
     void cut(std::size_t host, bool is_cut);
     /// From now on log() collects the events of all processes.
@@ -125,6 +135,7 @@
     absl::btree_map<std::uint64_t, job_result> jobs_;
     absl::flat_hash_map<std::uint64_t, std::pair<std::uint32_t, double>> properties_;
     std::uint64_t last_job_ = 0;
+    std::vector<schema::answer_kind> evacuation_answers_;
     absl::Time began_at_;
 };
 
--- a/tests/dispatch/sources.cmake
+++ b/tests/dispatch/sources.cmake
@@ -1,6 +1,8 @@
 savoryreach_test(dispatch_test
+  dispatch/cold_endpoint_test.cpp
   dispatch/core_test.cpp
   dispatch/endpoint_agent_test.cpp
+  dispatch/evacuation_test.cpp
   dispatch/explain_test.cpp
   dispatch/fake_endpoint.cpp
   dispatch/fleet_test.cpp
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -128,6 +128,9 @@
         it["nodeName"] = name;
         it["ip"] = ip;
         it["zone"] = "z1";
+        it["zones"]["z1"] = "r1";
+        it["zones"]["z2"] = "r1";
+        it["bounds"]["evacuationMs"] = 5000;
         it["internalPorts"].append(internal_port);
         it["internalPorts"].append(internal_port + 15);
         it["seeds"] = seeds_;
--- a/tests/soak/operators.hpp
+++ b/tests/soak/operators.hpp
@@ -82,6 +82,16 @@
         const auto reply = to.Post("/savoryreach/config/replace", body, "application/json");
         return reply ? reply->status : 0;
     }
+    /// Orders an evacuation or its end; the status of the answer, 0 for none.
+    static int order_evacuation(const std::string& ip, const std::string& name, bool ends)
+    {
+        httplib::Client to(ip, control_port);
+        to.set_read_timeout(1, 0);
+        to.set_connection_timeout(0, 300'000);
+        const auto reply =
+            to.Post("/savoryreach/evacuations/" + name + (ends ? "/finish" : "/begin"));
+        return reply ? reply->status : 0;
+    }
     /// Reads the configuration at a front and hands it to \p seen; the status, 0 for none.
     static int read_at(const std::string& ip, configuration_watch& seen)
     {
