--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -23,6 +23,7 @@
     int diskless_fronts = 0;
     int agents = 2;
     int tolerated = 1;
+    int memory_mb = 0; ///< limit that the settings name; 0 for none
 };
 
 /// Processes of one deployment on loopback, with endpoints of this test.
@@ -109,13 +110,13 @@
     }
 
     static constexpr int client_port = 8161;
+    static constexpr int internal_port = 7600;
+    static constexpr int ready_port = 8167;
 
 private:
     static constexpr int first_front = 10;
     static constexpr int first_agent = 100;
     static constexpr int silent_host = 250;
-    static constexpr int internal_port = 7600;
-    static constexpr int ready_port = 8167;
 
     process& add_process(const std::string& name, const std::string& role, const std::string& ip,
                          bool has_disk)
@@ -135,6 +136,10 @@
         it["bounds"]["holdMaxMs"] = Json::Int64(longest_lease_ms);
         it["bounds"]["graceS"] = 6;
         it["bounds"]["catchUpS"] = 4;
+        if (shape_.memory_mb > 0)
+        {
+            it["limits"]["memoryMb"] = shape_.memory_mb;
+        }
         it["listenAddrs"]["controlPlane"] = at(control_port);
         if (role == "front")
         {
--- a/tests/soak/fleet_process.hpp
+++ b/tests/soak/fleet_process.hpp
@@ -12,6 +12,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <sys/mman.h>
@@ -138,6 +139,25 @@
         return status;
     }
     [[nodiscard]] bool is_running() const { return pid_ > 0; }
+    /// Largest memory that the process has had so far, in KiB; 0 when it has ended.
+    [[nodiscard]] std::uint64_t peak_memory_kib() const
+    {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string line; std::getline(status, line);)
+        {
+            if (line.starts_with("VmHWM:"))
+            {
+                return std::stoull(line.substr(line.find('\t')));
+            }
+        }
+        return 0;
+    }
+    [[nodiscard]] std::size_t open_descriptors() const
+    {
+        std::error_code ec;
+        const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd", ec);
+        return ec ? 0 : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+    }
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] std::string ip() const { return settings_["ip"].asString(); }
     [[nodiscard]] bool has_disk() const { return !disk().empty(); }
