A new dispatcher starts new jobs at once and knows which repeated ones never ran

Callers saw jobs wait or be refused for 2 to 4 s when the dispatcher changed while some hosts were cut off: nothing started until every registered host had listed its runs or 1.75 s had passed. Requests that a front had forwarded to a dispatcher that no longer acted ended as "outcome unknown" although nothing had run.

Each host gets starts once its own list is known. Only jobs that may have run wait for the other hosts. Agents keep a record of the jobs that they started in the last 3 s; when all records reach back to before a job was read and none has it, it is treated as new and can be refused. Late held jobs that find no room then are refused at once: until now that came about by a rate of zero that was cached for 10 ms.

--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -20,6 +20,9 @@
 /// Runs of an earlier term are stopped this long after the term began if no front has submitted
 /// their job: fronts repeat their requests to a new dispatcher within a second.
 constexpr absl::Duration orphan_retention = absl::Milliseconds(2500);
+/// Time from the beginning of a term within which all linked agents have listed their runs: they
+/// learn of the dispatcher at once, and a list takes a call to the endpoint.
+constexpr absl::Duration listing_time = absl::Milliseconds(150);
 /// Replaces a declared run time of 0.
 constexpr std::uint32_t min_declared_ms = 1;
 /// Retry time for a job that no endpoint can run or that is malformed.
@@ -50,6 +53,8 @@
     leading_ = true;
     term_ = term;
     const auto now = clock_.now();
+    led_at_ = now;
+    prior_runs_.begin(now, {store_.hosts().begin(), store_.hosts().end()});
     orphans_expire_at_ = now + orphan_retention;
     router_.load(store_.config());
     applied_version_ = store_.config().version();
@@ -57,7 +62,6 @@
     {
         auto& target = endpoints_.get(it);
         target.registered = true;
-        target.has_unknown_runs = true;
         target.gone_at = now + host_gone_after;
     }
     events_.record("dispatcher_started",
@@ -75,7 +79,9 @@
     events_.record("dispatcher_stopped",
                    {{"term", absl::StrCat(term_)}, {"jobs", absl::StrCat(jobs_.size())}});
     leading_ = false;
-    prior_runs_known_ = false;
+    capacity_known_ = false;
+    has_started_ = false;
+    prior_runs_ = {};
     rate_valid_until_ = absl::InfinitePast();
     invalidate_index();
     endpoints_.clear();
@@ -187,6 +193,13 @@
         return;
     }
     const auto id = request.spec().id();
+    // The client may have sent the job through another front before.
+    may_have_run = may_have_run || prior_runs_.contains(id);
+    if (may_have_run && !ended_.contains(id) &&
+        prior_runs_.has_never_run(id, earliest_read_at(request)))
+    {
+        may_have_run = false;
+    }
     const auto* queue = router_.find(request.host(), request.path());
     const bool has_queue =
         queue != nullptr && request.path() == absl::StrCat(queue->path_prefix(), format_job_id(id));
@@ -273,7 +286,8 @@
                                            demand.memory_mb <= it.second->capacity.memory_mb &&
                                            demand.gpu <= it.second->capacity.gpu;
                                 });
-        if (!fits && !endpoints_.all().empty() && may_start())
+        // A host that is absent may have room.
+        if (!fits && !endpoints_.all().empty() && prior_runs_.are_listed())
         {
             return "no endpoint has room for a task of the job";
         }
@@ -336,6 +350,7 @@
                            absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
     it.may_have_run = may_have_run;
+    it.earliest_read_at = earliest_read_at(request);
     it.answer_deadline = std::min(it.arrived_at + objective * deadline_factor,
                                   now + absl::Milliseconds(request.remaining_ms()));
     const bool refusable = !may_have_run;
@@ -353,7 +368,7 @@
         now);
     const bool has_share = offered_.admit(queue.name(), share);
     const auto decision = decide_admission(admission_inputs_of(it, has_share, usable_rate), now);
-    if (!decision.accepted && refusable && may_start())
+    if (!decision.accepted && refusable && is_capacity_known())
     {
         refuse(origin, it.id, schema::answer_refused, decision.retry_at - now,
                absl::StrCat("expected wait of ", ms_text(decision.expected_wait), " ms",
@@ -403,7 +418,7 @@
             auto& task = step.tasks[n];
             if (const auto end = orphan_ends_.find(id); end != orphan_ends_.end())
             {
-                it.adopted = true;
+                it.adopted = it.may_have_run = true;
                 if (end->second == schema::run_done)
                 {
                     task.current_state = job_task::state::done;
@@ -422,7 +437,7 @@
                 const auto found = target->runs.find(id);
                 if (found != target->runs.end() && !found->second.stopping)
                 {
-                    it.adopted = true;
+                    it.adopted = it.may_have_run = true;
                     task.current_state = job_task::state::placed;
                     task.host = host;
                     task.attempt = found->second.attempt;
@@ -626,12 +641,56 @@
     }
 }
 
-bool dispatcher::may_start()
+absl::Time dispatcher::earliest_read_at(const schema::submit_job& request) const
+{
+    return prior_runs_.earliest_read_at(absl::Milliseconds(request.age_ms()));
+}
+
+bool dispatcher::is_capacity_known()
+{
+    if (!capacity_known_ &&
+        (prior_runs_.are_listed() || (clock_.now() >= led_at_ + listing_time && rate() > 0.0)))
+    {
+        capacity_known_ = true;
+        review_admissions();
+    }
+    return capacity_known_;
+}
+
+void dispatcher::on_hosts_listed()
+{
+    std::size_t never_ran = 0;
+    for (const auto& [id, it] : jobs_.all())
+    {
+        if (it->may_have_run && !it->started && !it->adopted &&
+            prior_runs_.has_never_run(id, it->earliest_read_at))
+        {
+            it->may_have_run = false;
+            ++never_ran;
+        }
+    }
+    events_.record("hosts_listed", {{"term", absl::StrCat(term_)},
+                                    {"ms", ms_text(clock_.now() - led_at_)},
+                                    {"jobs_never_run", absl::StrCat(never_ran)}});
+    capacity_known_ = true;
+    rate_valid_until_ = absl::InfinitePast();
+    review_admissions();
+}
+
+void dispatcher::review_admissions()
 {
-    prior_runs_known_ =
-        prior_runs_known_ || std::ranges::none_of(endpoints_.all(), [](const auto& it)
-                                                  { return it.second->has_unknown_runs; });
-    return prior_runs_known_;
+    place_tasks();
+    // Late jobs start after all new ones: without room now, most would find none in time.
+    for (const auto id : jobs_.waiting_order(clock_.now()))
+    {
+        const auto& it = *jobs_.find(id);
+        const bool is_held = it.deferred && it.arrived_at < led_at_;
+        if (is_held && !it.may_have_run && !it.started && !it.adopted)
+        {
+            ++counts_.refused;
+            end_job(id, schema::answer_refused, "it was held for too long to find room");
+        }
+    }
 }
 
 double dispatcher::rate()
@@ -681,11 +740,8 @@
 
 void dispatcher::place_tasks()
 {
-    if (!may_start())
-    {
-        return;
-    }
     placement_due_ = false;
+    const bool has_rate = is_capacity_known();
     if (clock_.now() >= index_valid_until_)
     {
         index_valid_until_ = clock_.now() + check_interval;
@@ -696,7 +752,12 @@
     for (const auto id : jobs_.waiting_order(clock_.now()))
     {
         auto& it = *jobs_.find(id);
-        if (!drop_if_too_late(it, absl::Seconds(work_ahead / std::max(rate(), 1.0))))
+        if (awaits_lists(it))
+        {
+            continue;
+        }
+        const auto wait = has_rate ? work_ahead / std::max(rate(), 1.0) : 0.0;
+        if (!drop_if_too_late(it, absl::Seconds(wait)))
         {
             place_job(it, unplaceable_cpu);
             work_ahead += waiting_work(it);
@@ -782,6 +843,13 @@
     it.started = true;
     it.first_start_at = std::min(it.first_start_at, now);
     ++counts_.starts;
+    if (!has_started_)
+    {
+        has_started_ = true;
+        events_.record("first_start", {{"term", absl::StrCat(term_)},
+                                       {"ms", ms_text(now - led_at_)},
+                                       {"unlisted", absl::StrCat(prior_runs_.unlisted_count())}});
+    }
     auto& orders = orders_for(target);
     auto& order = *orders.add_starts();
     set_key(*order.mutable_task(), id);
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "savoryreach/dispatch/job_table.hpp"
 #include "savoryreach/dispatch/offered_load.hpp"
 #include "savoryreach/dispatch/placement_index.hpp"
+#include "savoryreach/dispatch/prior_runs.hpp"
 #include "savoryreach/dispatch/queue_router.hpp"
 #include "savoryreach/dispatch/speed_model.hpp"
 #include "savoryreach/observe/event_sink.hpp"
@@ -69,8 +70,9 @@
                observe::metrics& metrics, const fleet_store& store,
                const dispatcher_options& options = {});
 
-    /// Begins to dispatch in \p term. No task starts until every host that may have runs of an
-    /// earlier term has listed its runs or its leases have expired.
+    /// Begins to dispatch in \p term. A host gets starts once it has listed its runs. Tasks of jobs
+    /// that an earlier dispatcher may have started wait until every host has, or its leases have
+    /// expired.
     void lead(std::uint64_t term);
     /// Discards all state; the fronts repeat their requests to the next dispatcher.
     void stop_leading();
@@ -126,6 +128,7 @@
                 const schema::queue_config& queue, bool may_have_run);
     [[nodiscard]] admission_inputs admission_inputs_of(const job& it, bool has_share, double rate);
     [[nodiscard]] std::optional<std::string> find_spec_error(const schema::job_spec& spec);
+    [[nodiscard]] absl::Time earliest_read_at(const schema::submit_job& request) const;
     /// Refuses a job that the configuration in force has no queue for, or says that its outcome is
     /// not known if an earlier copy of the request may have started it.
     void reject_without_queue(const request_ref& origin, const schema::submit_job& request,
@@ -157,6 +160,8 @@
 
     void update_state(endpoint& it, const schema::endpoint_report& report);
     void on_run_list(endpoint& it, const schema::endpoint_report& report);
+    /// Records that a task of the job with \p id was started in an earlier term.
+    void add_prior_run(std::uint64_t id);
     void add_unknown_run(endpoint& it, const schema::run_progress& row);
     void end_unlisted_runs(endpoint& it, const absl::flat_hash_set<task_id>& listed);
     void on_end(endpoint& it, const schema::run_end& end);
@@ -184,8 +189,18 @@
     void record_load();
     void flush_orders();
     schema::endpoint_orders& orders_for(endpoint& it);
-    /// True once every host that may have runs of an earlier term has listed them, or is gone.
-    [[nodiscard]] bool may_start();
+    void on_hosts_listed();
+    /// Decides on the jobs that were accepted while the capacity was not known.
+    void review_admissions();
+    /// True once enough endpoints are known for a job to be refused for their load. Immediately
+    /// after the beginning of a term only those that answered first are known.
+    [[nodiscard]] bool is_capacity_known();
+    /// True while an earlier dispatcher may have started the job's tasks on a host that has not
+    /// listed its runs.
+    [[nodiscard]] bool awaits_lists(const job& it) const
+    {
+        return it.may_have_run && !prior_runs_.are_listed();
+    }
     /// Declared core-seconds that the usable endpoints complete in a second.
     [[nodiscard]] double rate();
 
@@ -208,8 +223,11 @@
     std::uint64_t last_list_request_ = 0;
     std::uint64_t last_session_ = 0;
     bool placement_due_ = false;
-    bool prior_runs_known_ = false; ///< may_start() has been true in this term
-    double rate_ = 0.0;             ///< valid until rate_valid_until_
+    prior_runs prior_runs_;
+    absl::Time led_at_;
+    bool capacity_known_ = false; ///< is_capacity_known() has been true in this term
+    bool has_started_ = false;    ///< a task was started in this term
+    double rate_ = 0.0;           ///< valid until rate_valid_until_
     absl::Time rate_valid_until_ = absl::InfinitePast();
     absl::Time next_check_at_ = absl::InfinitePast();
     absl::Time next_load_record_at_ = absl::InfinitePast();
--- a/savoryreach/dispatch/dispatcher_endpoints.cpp
+++ b/savoryreach/dispatch/dispatcher_endpoints.cpp
@@ -307,6 +307,10 @@
 void dispatcher::on_run_list(endpoint& it, const schema::endpoint_report& report)
 {
     const auto now = clock_.now();
+    for (const auto job : report.recent_jobs())
+    {
+        add_prior_run(job);
+    }
     absl::flat_hash_set<task_id> listed;
     for (const auto& row : report.running())
     {
@@ -327,8 +331,26 @@
     end_unlisted_runs(it, listed);
     it.listed = true;
     invalidate_index();
-    it.has_unknown_runs = false;
     placement_due_ = true;
+    const bool was_listed = prior_runs_.are_listed();
+    prior_runs_.on_list(it.host, now - absl::Milliseconds(report.history_ms()));
+    if (!was_listed && prior_runs_.are_listed())
+    {
+        on_hosts_listed();
+    }
+}
+
+void dispatcher::add_prior_run(std::uint64_t id)
+{
+    if (prior_runs_.are_listed())
+    {
+        return; // a start of this term
+    }
+    prior_runs_.add(id);
+    if (auto* it = jobs_.find(id); it != nullptr && !it->started)
+    {
+        it->may_have_run = true;
+    }
 }
 
 /// Adds a run that an earlier dispatcher ordered, and adopts it if its job is known and its task
@@ -345,16 +367,18 @@
     unknown.confirmed_at = row.confirmed() ? unknown.sent_at : absl::InfiniteFuture();
     unknown.session = it.session;
     unknown.process = it.agent_process;
+    add_prior_run(id.job);
     auto* owner = jobs_.find(id.job);
     const bool known = owner != nullptr && id.step < owner->steps.size() &&
                        id.index < owner->steps[id.step].tasks.size();
+    bool is_superfluous = false;
     if (known)
     {
         auto& step = owner->steps[id.step];
         auto& task = step.tasks[id.index];
         if (task.current_state == job_task::state::waiting && step.released)
         {
-            owner->adopted = true;
+            owner->adopted = owner->may_have_run = true;
             task.current_state = job_task::state::placed;
             task.host = it.host;
             task.attempt = row.attempt();
@@ -362,8 +386,13 @@
             unknown.queue = owner->queue.name();
             unknown.declared = step.declared;
         }
+        is_superfluous = task.current_state != job_task::state::waiting && task.host != it.host;
     }
     add_run(it, id, unknown);
+    if (is_superfluous)
+    {
+        stop_run(it, id, row.attempt());
+    }
 }
 
 /// Ends runs that the endpoint's list does not have, unless their start order may be in transit.
@@ -414,6 +443,10 @@
     }
     if (task == nullptr)
     {
+        if (end.number() != 0)
+        {
+            add_prior_run(id.job);
+        }
         const bool result =
             end.outcome() == schema::run_done || end.outcome() == schema::run_failed;
         if (result && jobs_.find(id.job) == nullptr && !ended_.contains(id.job) &&
@@ -699,6 +732,12 @@
         auto& it = *endpoints_.find(host);
         events_.record("host_gone", {{"peer", host}, {"runs", absl::StrCat(it.runs.size())}});
         drop_runs(it, "its leases have ended");
+        const bool was_listed = prior_runs_.are_listed();
+        prior_runs_.on_gone(host);
+        if (!was_listed && prior_runs_.are_listed())
+        {
+            on_hosts_listed();
+        }
         invalidate_index();
         endpoints_.erase(host);
         speeds_.forget(host);
--- a/savoryreach/dispatch/endpoint_agent.cpp
+++ b/savoryreach/dispatch/endpoint_agent.cpp
@@ -53,6 +53,11 @@
 /// tasks. A report has 25 bytes a run: under 0.5 KB/s for the dozen runs that an endpoint has.
 constexpr absl::Duration progress_interval = absl::Milliseconds(300);
 constexpr absl::Duration progress_age = absl::Milliseconds(200);
+/// Time for which a next dispatcher needs the record of starts: the longest time from reading a
+/// request to its start by the dispatcher that was lost, and from there to the list.
+constexpr absl::Duration start_history = absl::Seconds(3);
+/// Bound of the record's memory and of its message, 8 KB. With more starts it reaches back less.
+constexpr std::size_t max_recent_starts = 1024;
 constexpr double milli = 1000.0;
 /// Key of the endpoint and of all queues in the agent's speed model.
 constexpr const char* single_key = "";
@@ -65,7 +70,8 @@
     : clock_(clock), calls_(calls), reports_(reports), events_(events), metrics_(metrics),
       options_(std::move(options)),
       // An earlier agent process may have given leases until just now.
-      lease_until_(clock.now() + options_.longest_lease * clock_drift_factor + arrival_margin)
+      lease_until_(clock.now() + options_.longest_lease * clock_drift_factor + arrival_margin),
+      recorded_since_(clock.now())
 {
 }
 
@@ -283,6 +289,7 @@
         end_run(task, order.attempt(), schema::run_expired, 0);
         return;
     }
+    record_start(task.job);
     tracked_run it;
     it.attempt = order.attempt();
     it.demand = {order.cpu_milli(), order.memory_mb(), order.gpu()};
@@ -296,6 +303,25 @@
     send_start(runs_[task] = std::move(it));
 }
 
+void endpoint_agent::record_start(std::uint64_t job)
+{
+    const auto now = clock_.now();
+    if (!recent_starts_.empty() && recent_starts_.back().job == job)
+    {
+        recent_starts_.back().ordered_at = now;
+    }
+    else
+    {
+        recent_starts_.push_back({job, now});
+    }
+    while (recent_starts_.size() > max_recent_starts ||
+           recent_starts_.front().ordered_at < now - start_history)
+    {
+        recorded_since_ = recent_starts_.front().ordered_at;
+        recent_starts_.pop_front();
+    }
+}
+
 void endpoint_agent::send_start(tracked_run& it)
 {
     const auto now = clock_.now();
@@ -840,6 +866,16 @@
         row.set_gpu(static_cast<std::uint32_t>(it.demand.gpu));
         row.set_confirmed(it.confirmed);
     }
+    const auto now = clock_.now();
+    const auto since = std::max(recorded_since_, now - start_history);
+    report.set_history_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - since)));
+    for (const auto& it : recent_starts_)
+    {
+        if (it.ordered_at >= since)
+        {
+            report.add_recent_jobs(it.job);
+        }
+    }
     // Repeats all unacknowledged ends: their reports may have gone to an earlier dispatcher or may
     // have been lost with a link.
     auto& ends = *report.mutable_ends();
--- a/savoryreach/dispatch/endpoint_agent.hpp
+++ b/savoryreach/dispatch/endpoint_agent.hpp
@@ -104,6 +104,7 @@
     void check_silence();
     void queue_report();
     void report_run_list();
+    void record_start(std::uint64_t job);
     void report_progress();
     /// Run time of a run that has ended; nullopt if it is unknown.
     [[nodiscard]] std::optional<absl::Duration> run_time(const tracked_run& it) const;
@@ -153,6 +154,15 @@
     std::uint64_t requested_list_ = 0; ///< number of the run list request to answer; 0 for none
     absl::Time list_requested_at_;
     std::optional<schema::endpoint_report> pending_;
+
+    struct recent_start
+    {
+        std::uint64_t job = 0;
+        absl::Time ordered_at;
+    };
+    std::deque<recent_start>
+        recent_starts_;         ///< in the order of time; one for a job's tasks in a row
+    absl::Time recorded_since_; ///< recent_starts_ has all starts after this time
 };
 
 } // namespace savoryreach::dispatch
--- a/savoryreach/dispatch/endpoint_table.hpp
+++ b/savoryreach/dispatch/endpoint_table.hpp
@@ -88,10 +88,9 @@
     bool draining = false;
     bool silent = false; ///< does not answer its agent
     bool left = false;
-    bool listed = false;           ///< its run list arrived in the current session
-    bool registered = false;       ///< the replicated log records that it may have runs
-    bool registering = false;      ///< its registration was proposed to the log
-    bool has_unknown_runs = false; ///< may have unlisted runs of an earlier term
+    bool listed = false;      ///< its run list arrived in the current session
+    bool registered = false;  ///< the replicated log records that it may have runs
+    bool registering = false; ///< its registration was proposed to the log
     absl::Time gone_at = absl::InfiniteFuture();         ///< when all of its leases have expired
     absl::Time list_request_at = absl::InfiniteFuture(); ///< when to request its run list again
     std::uint64_t requested_list = 0;                    ///< number of the latest run list request
--- a/savoryreach/dispatch/job.hpp
+++ b/savoryreach/dispatch/job.hpp
@@ -63,6 +63,7 @@
     bool started = false;         ///< the start of a task was ordered
     bool adopted = false;         ///< runs or ends of an earlier term were adopted
     bool may_have_run = false;    ///< an earlier dispatcher may have started its tasks
+    absl::Time earliest_read_at;  ///< its front can't have read its request before
     bool deferred = false;        ///< could not meet its objective when it was accepted
     absl::Time answer_deadline;   ///< the caller has no use for a later answer
     bool had_success = false;
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -15,6 +15,7 @@
   dispatch/pause_policy.cpp
   dispatch/placement.cpp
   dispatch/placement_index.cpp
+  dispatch/prior_runs.cpp
   dispatch/queue_router.cpp
   dispatch/request_forwarder.cpp
   dispatch/speed_model.cpp
--- a/tests/dispatch/endpoint_agent_test.cpp
+++ b/tests/dispatch/endpoint_agent_test.cpp
@@ -462,6 +462,28 @@
     EXPECT_EQ(reports_.reports.back().running_size(), 1);
 }
 
+// A new dispatcher could not tell which of the repeated requests had run.
+TEST_F(agent_calls, list_names_the_jobs_started_in_the_reported_time)
+{
+    pass(absl::Milliseconds(200));
+    order_start(0);
+    answer_start(0, start_result::started);
+    pass(absl::Milliseconds(100));
+    request_list(1);
+    answer_hold(calls_.holds.size() - 1, list({}));
+    const auto& recent = reports_.reports.back();
+    EXPECT_EQ(recent.look(), 1U);
+    ASSERT_EQ(recent.recent_jobs_size(), 1);
+    EXPECT_EQ(recent.recent_jobs(0), job);
+    EXPECT_EQ(recent.history_ms(), 300U);
+    pass(absl::Seconds(4));
+    request_list(2);
+    answer_hold(calls_.holds.size() - 1, list({}));
+    EXPECT_EQ(reports_.reports.back().look(), 2U);
+    EXPECT_EQ(reports_.reports.back().recent_jobs_size(), 0);
+    EXPECT_EQ(reports_.reports.back().history_ms(), 3000U);
+}
+
 TEST_F(agent_calls, acknowledgement_in_a_lost_call_is_sent_again)
 {
     order_start(0);
--- a/tests/dispatch/fleet_world.cpp
+++ b/tests/dispatch/fleet_world.cpp
@@ -174,10 +174,17 @@
     hosts_[host]->cut_at = clock_.now();
 }
 
-void fleet_world::change_dispatcher(absl::Duration outage)
+void fleet_world::change_dispatcher(absl::Duration outage, absl::Duration unnoticed)
 {
     leads_ = false;
-    front_->set_dispatcher(std::nullopt);
+    events_.after(unnoticed,
+                  [this, term = term_]
+                  {
+                      if (!leads_ && term == term_)
+                      {
+                          front_->set_dispatcher(std::nullopt);
+                      }
+                  });
     for (auto& it : hosts_)
     {
         it->agent->on_dispatcher_lost();
--- a/tests/dispatch/fleet_world.hpp
+++ b/tests/dispatch/fleet_world.hpp
@@ -63,8 +63,9 @@
     void load(const std::vector<job_kind>& kinds, absl::Duration length);
     void submit(const job_kind& kind);
     void run(absl::Duration length);
-    /// Removes the dispatcher without notice; another one leads after \p outage.
-    void change_dispatcher(absl::Duration outage);
+    /// Removes the dispatcher; another one leads after \p outage. The front goes on forwarding to
+    /// the former one for \p unnoticed.
+    void change_dispatcher(absl::Duration outage, absl::Duration unnoticed = absl::ZeroDuration());
     /// Commits a configuration with the queues of \p paths.
     void set_queues(const std::vector<std::string>& paths);
     /// Cuts or restores the connection between the host's agent and the dispatcher.
