Reserve room for wide tasks, fill the gaps meanwhile

Cause: a pass gave each gap to the next task that fits now, so that no gap grew. A task that found no room reserves the endpoint where it is expected to end first, against tasks of at most half its cores; those start there only if they are expected to end before or fit beside it. Ends are forecast from progress, declared time and speed; at most one endpoint in eight is reserved; a missed claim expires. Priorities of a service's queues defer jobs by a bounded part of their objectives. Only for services whose endpoints do not guard their capacity.

--- a/performance_test/dispatch_benchmark.cpp
+++ b/performance_test/dispatch_benchmark.cpp
@@ -157,7 +157,7 @@
     state.counters["completed"] = static_cast<double>(all.core().counts().completed);
 }
 
-BENCHMARK(job_through_the_dispatcher)->Arg(68)->Arg(512)->Arg(4100);
+BENCHMARK(job_through_the_dispatcher)->Arg(11)->Arg(67)->Arg(160)->Arg(512)->Arg(4100);
 
 } // namespace
 } // namespace savoryreach::dispatch
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace savoryreach::dispatch
 {
@@ -26,6 +27,13 @@
 constexpr absl::Duration not_ready_retry = absl::Seconds(1);
 constexpr absl::Duration max_retry = absl::Seconds(5);
 constexpr std::size_t max_tasks = 10'000;
+/// Each priority of a service defers its jobs by this share of their objectives, up to so many
+/// priorities: a bounded time, so that jobs of the last one still move to the front as they wait.
+constexpr double priority_step = 0.1;
+constexpr std::size_t max_priority_ranks = 3;
+/// Room is reserved for a task only against tasks that need at most this part of its cores: tasks
+/// of similar demand fit into each other's place, so that no gaps build up.
+constexpr std::int64_t min_width_ratio = 2;
 /// Answer deadline of a job as a multiple of its objective.
 constexpr double deadline_factor = 3.0;
 
@@ -336,6 +344,12 @@
                            absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
     it.may_have_run = may_have_run;
+    it.plans_room = router_.owns_room(queue.service());
+    if (const auto rank = std::min(router_.priority_rank(queue), max_priority_ranks);
+        it.plans_room && rank > 0)
+    {
+        it.order_at = it.objective_at + objective * (priority_step * static_cast<double>(rank));
+    }
     it.answer_deadline = std::min(it.arrived_at + objective * deadline_factor,
                                   now + absl::Milliseconds(request.remaining_ms()));
     const bool refusable = !may_have_run;
@@ -380,7 +394,7 @@
     const auto now = clock_.now();
     if (!it.deferred)
     {
-        return {jobs_.work_ahead(it.objective_at),
+        return {jobs_.work_ahead(it.order_time()),
                 jobs_.work_waiting(),
                 has_share,
                 rate,
@@ -676,6 +690,7 @@
 void dispatcher::invalidate_index()
 {
     index_.clear();
+    reservations_.clear();
     index_valid_until_ = absl::InfinitePast();
 }
 
@@ -690,27 +705,26 @@
     {
         index_valid_until_ = clock_.now() + check_interval;
         index_.rebuild(endpoints_, speeds_);
+        reservations_.refresh();
     }
-    absl::flat_hash_map<std::string, std::int64_t> unplaceable_cpu;
+    placement_pass pass;
     double work_ahead = 0.0; // of the jobs in this order that still wait, core-seconds
     for (const auto id : jobs_.waiting_order(clock_.now()))
     {
         auto& it = *jobs_.find(id);
         if (!drop_if_too_late(it, absl::Seconds(work_ahead / std::max(rate(), 1.0))))
         {
-            place_job(it, unplaceable_cpu);
+            place_job(it, pass);
             work_ahead += waiting_work(it);
         }
     }
 }
 
-/// \p unplaceable_cpu holds, by service, the lowest demand for cores (in thousandths) that no
-/// endpoint could take in this pass.
-void dispatcher::place_job(job& it, absl::flat_hash_map<std::string, std::int64_t>& unplaceable_cpu)
+void dispatcher::place_job(job& it, placement_pass& pass)
 {
     const auto now = clock_.now();
-    const auto found = unplaceable_cpu.find(it.queue.service());
-    auto limit = found == unplaceable_cpu.end() ? INT64_MAX : found->second;
+    auto& unplaced = pass[it.queue.service()];
+    const bool may_reserve = it.plans_room && can_meet_objective(it, now);
     std::string placed;
     for (std::uint32_t s = 0; s < it.steps.size(); ++s)
     {
@@ -719,11 +733,26 @@
         {
             auto& task = step.tasks[n];
             if (!step.released || task.current_state != job_task::state::waiting ||
-                step.demand.cpu_milli >= limit || active_runs_.contains({it.id, s, n}))
+                active_runs_.contains({it.id, s, n}))
             {
                 continue;
             }
-            const auto chosen = choose_endpoint(index_, speeds_, it, step, task, s, now, options_);
+            const bool is_reservable =
+                may_reserve && unplaced.reservable.size() < reservation_plan::max_reservations;
+            if (step.demand.cpu_milli >= unplaced.min_cpu_milli)
+            {
+                if (is_reservable)
+                {
+                    unplaced.reservable.push_back({it.id, s, n});
+                }
+                continue;
+            }
+            if (step.demand.cpu_milli * min_width_ratio <= unplaced.min_cpu_milli)
+            {
+                reserve_room(std::exchange(unplaced.reservable, {}));
+            }
+            const auto chosen = choose_endpoint(index_, speeds_, it, step, task, s, now, options_,
+                                                &reservations_, {it.id, s, n});
             if (chosen.target != nullptr)
             {
                 start(it, s, n, *chosen.target);
@@ -733,8 +762,11 @@
             else if (chosen.no_capacity && task.avoided.empty() &&
                      step.spec.required_label().empty() && step.spec.max_per_endpoint() == 0)
             {
-                limit = step.demand.cpu_milli;
-                unplaceable_cpu[it.queue.service()] = limit;
+                unplaced.min_cpu_milli = step.demand.cpu_milli;
+                if (is_reservable)
+                {
+                    unplaced.reservable.push_back({it.id, s, n});
+                }
             }
             else if (chosen.no_capacity && !task.avoided.empty())
             {
@@ -751,6 +783,18 @@
     }
 }
 
+void dispatcher::reserve_room(const std::vector<task_id>& unplaced)
+{
+    for (const auto& id : unplaced)
+    {
+        const auto& owner = *jobs_.find(id.job);
+        if (const auto* ranking = index_.find(owner.queue.service()))
+        {
+            reservations_.reserve(id, owner, owner.steps[id.step], *ranking, speeds_, clock_.now());
+        }
+    }
+}
+
 void dispatcher::start(job& it, std::uint32_t step_number, std::uint32_t index, endpoint& target)
 {
     const auto now = clock_.now();
@@ -771,6 +815,8 @@
     started.session = target.session;
     started.process = target.agent_process;
     add_run(target, id, started);
+    reservations_.on_start(target, id, step.demand,
+                           now + speeds_.expected(target.host, it.queue.name(), step.declared));
     if (!it.started)
     {
         metrics_
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "savoryreach/dispatch/offered_load.hpp"
 #include "savoryreach/dispatch/placement_index.hpp"
 #include "savoryreach/dispatch/queue_router.hpp"
+#include "savoryreach/dispatch/reservation_plan.hpp"
 #include "savoryreach/dispatch/speed_model.hpp"
 #include "savoryreach/observe/event_sink.hpp"
 #include "savoryreach/observe/metrics.hpp"
@@ -121,6 +122,14 @@
         std::uint32_t last_attempt = 0;
     };
 
+    /// Tasks of a service that found no room in a placement pass.
+    struct unplaced_tasks
+    {
+        std::int64_t min_cpu_milli = INT64_MAX; ///< the lowest demand that no endpoint could take
+        std::vector<task_id> reservable;        ///< those that have asked for no reservation yet
+    };
+    using placement_pass = absl::flat_hash_map<std::string, unplaced_tasks>; ///< by service
+
     void submit(const request_ref& origin, const schema::submit_job& request, bool may_have_run);
     void accept(const request_ref& origin, const schema::submit_job& request,
                 const schema::queue_config& queue, bool may_have_run);
@@ -176,7 +185,9 @@
     /// To be called when endpoints join, leave or change their capacity: the next placement pass
     /// rebuilds the index.
     void invalidate_index();
-    void place_job(job& it, absl::flat_hash_map<std::string, std::int64_t>& unplaceable_cpu);
+    void place_job(job& it, placement_pass& pass);
+    /// Reserves room for the tasks that found none in this pass.
+    void reserve_room(const std::vector<task_id>& unplaced);
     void start(job& it, std::uint32_t step_number, std::uint32_t index, endpoint& target);
     void check_runs();
     void record_failure(endpoint& it);
@@ -200,6 +211,7 @@
     speed_model speeds_;
     placement_index index_;
     absl::Time index_valid_until_ = absl::InfinitePast(); ///< when the index is rebuilt
+    reservation_plan reservations_;
     offered_load offered_;
     job_table jobs_;
     bool leading_ = false;
--- a/savoryreach/dispatch/endpoint_table.hpp
+++ b/savoryreach/dispatch/endpoint_table.hpp
@@ -21,6 +21,18 @@
     std::int64_t memory_mb = 0;
     std::int64_t gpu = 0;
 
+    [[nodiscard]] bool fits_into(const resources& room) const
+    {
+        return cpu_milli <= room.cpu_milli && memory_mb <= room.memory_mb && gpu <= room.gpu;
+    }
+    resources& operator-=(const resources& other)
+    {
+        cpu_milli -= other.cpu_milli;
+        memory_mb -= other.memory_mb;
+        gpu -= other.gpu;
+        return *this;
+    }
+
     friend auto operator<=>(const resources&, const resources&) = default;
 };
 
--- a/savoryreach/dispatch/job.hpp
+++ b/savoryreach/dispatch/job.hpp
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,18 +58,22 @@
     std::vector<job_step> steps;
     std::vector<request_ref> waiters; ///< requests that are answered when the job ends
     absl::Time arrived_at;
-    absl::Time objective_at;      ///< time by which the job should have ended
-    absl::Duration critical_path; ///< longest chain of dependent expected run times
-    double work = 0.0;            ///< core-seconds, by the declared times
-    bool started = false;         ///< the start of a task was ordered
-    bool adopted = false;         ///< runs or ends of an earlier term were adopted
-    bool may_have_run = false;    ///< an earlier dispatcher may have started its tasks
-    bool deferred = false;        ///< could not meet its objective when it was accepted
-    absl::Time answer_deadline;   ///< the caller has no use for a later answer
+    absl::Time objective_at;            ///< time by which the job should have ended
+    std::optional<absl::Time> order_at; ///< place in the order if its priority defers it
+    bool plans_room = false;            ///< the dispatcher owns the room of its endpoints
+    absl::Duration critical_path;       ///< longest chain of dependent expected run times
+    double work = 0.0;                  ///< core-seconds, by the declared times
+    bool started = false;               ///< the start of a task was ordered
+    bool adopted = false;               ///< runs or ends of an earlier term were adopted
+    bool may_have_run = false;          ///< an earlier dispatcher may have started its tasks
+    bool deferred = false;              ///< could not meet its objective when it was accepted
+    absl::Time answer_deadline;         ///< the caller has no use for a later answer
     bool had_success = false;
     std::vector<std::string> failed_hosts; ///< hosts on which its runs failed
     absl::Time first_start_at = absl::InfiniteFuture();
 
+    /// Earlier jobs start first.
+    [[nodiscard]] absl::Time order_time() const { return order_at.value_or(objective_at); }
     /// True if requests for the job have this host and path. They outlive its queue: a newer
     /// configuration may have removed it.
     [[nodiscard]] bool has_address(const std::string& host, const std::string& path) const;
--- a/savoryreach/dispatch/job_table.cpp
+++ b/savoryreach/dispatch/job_table.cpp
@@ -51,7 +51,7 @@
     waiting_work_of(*slot) += waiting_work(*slot);
     if (has_waiting_task(*slot))
     {
-        waiting_.insert({slot->objective_at, id});
+        waiting_.insert({slot->order_time(), id});
     }
     return *slot;
 }
@@ -80,7 +80,7 @@
     }
     auto& work = waiting_work_of(*it->second);
     work = std::max(0.0, work - waiting_work(*it->second));
-    waiting_.erase({it->second->objective_at, id});
+    waiting_.erase({it->second->order_time(), id});
     jobs_.erase(it);
     if (waiting_.empty())
     {
@@ -103,11 +103,11 @@
     work = std::max(0.0, work + task_work(step) * n);
     if (has_waiting_task(it))
     {
-        waiting_.insert({it.objective_at, it.id});
+        waiting_.insert({it.order_time(), it.id});
     }
     else
     {
-        waiting_.erase({it.objective_at, it.id});
+        waiting_.erase({it.order_time(), it.id});
     }
 }
 
@@ -126,12 +126,12 @@
     return out;
 }
 
-double job_table::work_ahead(absl::Time objective_at) const
+double job_table::work_ahead(absl::Time order_time) const
 {
     double sum = 0.0;
     for (const auto& [at, id] : waiting_)
     {
-        if (at > objective_at)
+        if (at > order_time)
         {
             break;
         }
--- a/savoryreach/dispatch/job_table.hpp
+++ b/savoryreach/dispatch/job_table.hpp
@@ -15,12 +15,13 @@
 namespace savoryreach::dispatch
 {
 
-/// The accepted jobs that have not ended, and the order in which their tasks start: by objective
-/// (earliest deadline first), so that a job with little spare time precedes one that can wait.
+/// The accepted jobs that have not ended, and the order in which their tasks start, by objective
+/// (earliest deadline first), so that a job with little spare time precedes one that can wait. Jobs
+/// of a queue with a later priority are ordered by a later time.
 class job_table
 {
 public:
-    using order_key = std::pair<absl::Time, std::uint64_t>; ///< objective and id
+    using order_key = std::pair<absl::Time, std::uint64_t>; ///< order_time() and id
 
     job& add(job it);
     [[nodiscard]] job* find(std::uint64_t id);
@@ -31,12 +32,12 @@
 
     /// Adds \p n to the number of the step's waiting tasks; \p n may be negative.
     void adjust_waiting(job& it, job_step& step, int n);
-    /// Ids of jobs with waiting tasks in the order in which they start: by objective, but jobs that
+    /// Ids of jobs with waiting tasks in the order in which they start, but jobs that
     /// can no longer meet their objective come after all that can.
     [[nodiscard]] std::vector<std::uint64_t> waiting_order(absl::Time now) const;
 
-    /// Core-seconds of the waiting tasks of jobs that precede one with \p objective_at.
-    [[nodiscard]] double work_ahead(absl::Time objective_at) const;
+    /// Core-seconds of the waiting tasks of jobs that precede one with \p order_time.
+    [[nodiscard]] double work_ahead(absl::Time order_time) const;
     /// Core-seconds of the waiting tasks. Those of deferred jobs are counted separately, since they
     /// start after all others.
     [[nodiscard]] double work_waiting() const { return work_waiting_; }
--- a/savoryreach/dispatch/placement.cpp
+++ b/savoryreach/dispatch/placement.cpp
@@ -23,14 +23,6 @@
                               { return entry.first.job == job && entry.first.step == step; }));
 }
 
-/// True when the endpoint may run the task, regardless of its current load.
-bool is_eligible(const endpoint& it, const job& owner, const job_step& step, const job_task& task)
-{
-    return it.is_usable() && it.service == owner.queue.service() &&
-           (step.spec.required_label().empty() || has_label(it, step.spec.required_label())) &&
-           std::ranges::find(task.avoided, it.host) == task.avoided.end();
-}
-
 bool can_start_now(const endpoint& it, const job& owner, const job_step& step,
                    std::uint32_t step_number, absl::Time now)
 {
@@ -93,9 +85,17 @@
 
 } // namespace
 
+bool is_eligible(const endpoint& it, const job& owner, const job_step& step, const job_task& task)
+{
+    return it.is_usable() && it.service == owner.queue.service() &&
+           (step.spec.required_label().empty() || has_label(it, step.spec.required_label())) &&
+           std::ranges::find(task.avoided, it.host) == task.avoided.end();
+}
+
 placement choose_endpoint(const placement_index& index, const speed_model& speeds, const job& owner,
                           const job_step& step, const job_task& task, std::uint32_t step_number,
-                          absl::Time now, const dispatcher_options& options)
+                          absl::Time now, const dispatcher_options& options,
+                          const reservation_plan* reservations, const task_id& id)
 {
     const auto* ranking = index.find(owner.queue.service());
     if (ranking == nullptr)
@@ -103,9 +103,16 @@
         return {nullptr, true};
     }
     const placement_request wanted{owner, step, task, step_number, now, options.remote_factor};
-    const auto best = find_best(*ranking, speeds, wanted, step.demand.cpu_milli,
-                                [&](const endpoint& it)
-                                { return can_start_now(it, owner, step, step_number, now); });
+    const auto best = find_best(
+        *ranking, speeds, wanted, step.demand.cpu_milli,
+        [&](const endpoint& it)
+        {
+            return can_start_now(it, owner, step, step_number, now) &&
+                   (reservations == nullptr || reservations->empty() ||
+                    reservations->allows(
+                        it, id, step.demand,
+                        now + speeds.expected(it.host, owner.queue.name(), step.declared)));
+        });
     if (best.target == nullptr)
     {
         return {nullptr, true};
--- a/savoryreach/dispatch/queue_router.hpp
+++ b/savoryreach/dispatch/queue_router.hpp
@@ -3,8 +3,12 @@
 
 #include "schema/generated/dispatch.pb.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,10 +25,20 @@
     /// \p host in lower case. Null when no queue matches the request.
     [[nodiscard]] const schema::queue_config* find(const std::string& host,
                                                    std::string_view path) const;
+    /// True if the endpoints of the service take what they are sent, so that the dispatcher owns
+    /// their room and can plan it.
+    [[nodiscard]] bool owns_room(const std::string& service) const
+    {
+        return unguarded_services_.contains(service);
+    }
+    /// Number of priorities of the queue's service that precede the queue's.
+    [[nodiscard]] std::size_t priority_rank(const schema::queue_config& queue) const;
 
 private:
     /// Queues of each host, longest prefix first.
     absl::flat_hash_map<std::string, std::vector<schema::queue_config>> by_host_;
+    absl::flat_hash_map<std::string, absl::btree_set<std::uint32_t>> priorities_; ///< by service
+    absl::flat_hash_set<std::string> unguarded_services_;
 };
 
 } // namespace savoryreach::dispatch
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -17,5 +17,7 @@
   dispatch/placement_index.cpp
   dispatch/queue_router.cpp
   dispatch/request_forwarder.cpp
+  dispatch/reservation_plan.cpp
+  dispatch/room_forecast.cpp
   dispatch/speed_model.cpp
   dispatch/task_id.cpp)
--- a/tests/dispatch/fleet_world.cpp
+++ b/tests/dispatch/fleet_world.cpp
@@ -20,7 +20,6 @@
 constexpr auto contact_interval = absl::Milliseconds(200);
 constexpr auto heartbeat = absl::Milliseconds(1500);
 constexpr auto client_limit = absl::Seconds(6);
-constexpr std::uint32_t task_cpu_milli = 6200;
 constexpr double slack_factor = 1.6;
 constexpr std::uint32_t target_ms = 60;
 constexpr const char* queue_host = "h.example";
@@ -51,8 +50,9 @@
     }
 }
 
-fleet_world::fleet_world(std::size_t hosts, std::uint64_t seed, std::vector<double> speeds)
-    : random_(seed), began_at_(clock_.now())
+fleet_world::fleet_world(std::size_t hosts, std::uint64_t seed, std::vector<double> speeds,
+                         fleet_settings settings)
+    : settings_(settings), random_(seed), began_at_(clock_.now())
 {
     front_ = std::make_unique<request_forwarder>(clock_, *this, sink_, metrics_, 0);
     for (std::size_t n = 0; n < hosts; ++n)
@@ -67,8 +67,9 @@
             events_, clock_, monitor_, random_.next(), options,
             [this](const task_id& task)
             {
-                const auto& [ms, factor] = properties_.at(task.job);
-                return std::pair(absl::Milliseconds(ms) * factor, resources{task_cpu_milli, 64, 0});
+                const auto& it = properties_.at(task.job);
+                return std::pair(absl::Milliseconds(it.declared_ms) * it.factor,
+                                 resources{it.cpu_milli, 64, 0});
             });
         it->agent = std::make_unique<endpoint_agent>(
             clock_, *it->fake, *it, sink_, metrics_,
@@ -78,7 +79,7 @@
         hosts_.push_back(std::move(it));
     }
     schema::log_entry entry;
-    *entry.mutable_command() = config_with({"/hold/", "/long/", "/short/"});
+    *entry.mutable_command() = config_with({"/hold/", "/long/", "/short/", "/wide/"});
     store_.apply(entry);
     lead();
     for (auto& it : hosts_)
@@ -118,8 +119,11 @@
         queue.set_service("svc");
         queue.set_max_attempts(4);
         queue.set_slack_factor(slack_factor);
-        queue.set_target_ms(target_ms);
+        queue.set_target_ms(settings_.target_ms);
     }
+    auto& service = *config.add_services();
+    service.set_name("svc");
+    service.set_guards_capacity(settings_.guards_capacity);
     return out;
 }
 
@@ -196,9 +200,9 @@
     constexpr double pi = 3.14159265358979;
     const double normal =
         std::sqrt(-2.0 * std::log(random_.unit() + 1e-12)) * std::cos(2.0 * pi * random_.unit());
-    properties_[id] = {kind.declared_ms, std::exp(spread * normal)};
+    properties_[id] = {kind.declared_ms, kind.cpu_milli, std::exp(spread * normal)};
     result.objective = absl::Milliseconds(kind.declared_ms) * slack_factor *
-                           std::max(1.0, properties_[id].second) +
+                           std::max(1.0, properties_[id].factor) +
                        absl::Milliseconds(target_ms);
     schema::front_request request;
     auto& submit = *request.mutable_submit();
@@ -207,7 +211,7 @@
     submit.mutable_spec()->set_id(id);
     auto& step = *submit.mutable_spec()->add_steps();
     step.set_count(kind.width);
-    step.set_cpu_milli(task_cpu_milli);
+    step.set_cpu_milli(kind.cpu_milli);
     step.set_memory_mb(64);
     step.set_estimated_ms(kind.declared_ms);
     front_->add(request, clock_.now() + client_limit,
--- a/tests/dispatch/fleet_world.hpp
+++ b/tests/dispatch/fleet_world.hpp
@@ -39,6 +39,7 @@
     std::uint32_t width = 1;
     std::uint32_t declared_ms = 100;
     double per_s = 10.0;
+    std::uint32_t cpu_milli = 6200;
 };
 
 /// Outcome of a job.
@@ -52,12 +53,20 @@
     bool may_have_run = false;
 };
 
+/// Configuration of a fleet's service and queues.
+struct fleet_settings
+{
+    bool guards_capacity = false;
+    std::uint32_t target_ms = 60;
+};
+
 /// A fleet on virtual time: fronts, the dispatcher of each term, agents and endpoints, with
 /// messages that take a millisecond.
 class fleet_world final : public dispatch_port, public request_port
 {
 public:
-    fleet_world(std::size_t hosts, std::uint64_t seed, std::vector<double> speeds = {1.0});
+    fleet_world(std::size_t hosts, std::uint64_t seed, std::vector<double> speeds = {1.0},
+                fleet_settings settings = {});
 
     /// Sends jobs of \p kinds for \p length.
     void load(const std::vector<job_kind>& kinds, absl::Duration length);
@@ -103,12 +112,20 @@
         void send_report(schema::endpoint_report report) override;
     };
 
+    struct job_properties
+    {
+        std::uint32_t declared_ms = 0;
+        std::uint32_t cpu_milli = 0;
+        double factor = 1.0; ///< actual run time over the declared one
+    };
+
     void lead();
     /// The next version of the configuration, with the queues of \p paths.
     [[nodiscard]] schema::command config_with(const std::vector<std::string>& paths) const;
     void every(absl::Duration interval, std::function<void()> action);
     void tick_host(host& it);
 
+    fleet_settings settings_;
     simulation::virtual_clock clock_;
     event_queue events_{clock_};
     run_monitor monitor_;
@@ -123,7 +140,7 @@
     std::unique_ptr<request_forwarder> front_;
     std::vector<std::unique_ptr<host>> hosts_;
     absl::btree_map<std::uint64_t, job_result> jobs_;
-    absl::flat_hash_map<std::uint64_t, std::pair<std::uint32_t, double>> properties_;
+    absl::flat_hash_map<std::uint64_t, job_properties> properties_;
     std::uint64_t last_job_ = 0;
     absl::Time began_at_;
 };
--- a/tests/dispatch/sources.cmake
+++ b/tests/dispatch/sources.cmake
@@ -6,4 +6,6 @@
   dispatch/fleet_test.cpp
   dispatch/fleet_world.cpp
   dispatch/pause_policy_test.cpp
-  dispatch/policy_test.cpp)
+  dispatch/placement_replay_test.cpp
+  dispatch/policy_test.cpp
+  dispatch/reservation_plan_test.cpp)
