--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -790,7 +790,16 @@
         const auto& owner = *jobs_.find(id.job);
         if (const auto* ranking = index_.find(owner.queue.service()))
         {
-            reservations_.reserve(id, owner, owner.steps[id.step], *ranking, speeds_, clock_.now());
+            const auto now = clock_.now();
+            if (const auto room =
+                    reservations_.reserve(id, owner, owner.steps[id.step], *ranking, speeds_, now))
+            {
+                events_.record("room_reserved",
+                               {{"submission", format_job_id(id.job)},
+                                {"task", absl::StrCat(id.step, ".", id.index)},
+                                {"peer", room->host},
+                                {"expected_wait_ms", ms_text(room->start_at - now)}});
+            }
         }
     }
 }
--- a/savoryreach/dispatch/reservation_plan.cpp
+++ b/savoryreach/dispatch/reservation_plan.cpp
@@ -40,9 +40,10 @@
     return forecasts_.try_emplace(&it, it, speeds, now).first->second;
 }
 
-void reservation_plan::reserve(const task_id& id, const job& owner, const job_step& step,
-                               const endpoint_ranking& ranking, const speed_model& speeds,
-                               absl::Time now)
+std::optional<reserved_room> reservation_plan::reserve(const task_id& id, const job& owner,
+                                                       const job_step& step,
+                                                       const endpoint_ranking& ranking,
+                                                       const speed_model& speeds, absl::Time now)
 {
     const auto known = claims_.find(id);
     if (known != claims_.end())
@@ -52,7 +53,7 @@
     if (searches_ >= max_reservations || by_task_.contains(id) ||
         (known != claims_.end() && now >= known->second.expires_at))
     {
-        return;
+        return std::nullopt;
     }
     const auto reserved =
         std::ranges::count_if(by_endpoint_, [&owner](const auto& entry)
@@ -60,7 +61,7 @@
     if (static_cast<std::size_t>(reserved) >=
         std::max<std::size_t>(1, ranking.size() / share_divisor))
     {
-        return;
+        return std::nullopt;
     }
     ++searches_;
     const auto& task = step.tasks[id.index];
@@ -86,7 +87,7 @@
     }
     if (best == nullptr)
     {
-        return;
+        return std::nullopt;
     }
     if (known == claims_.end())
     {
@@ -96,6 +97,7 @@
     spare -= step.demand;
     by_endpoint_[best] = {id, best_start, spare};
     by_task_[id] = best;
+    return reserved_room{best->host, best_start};
 }
 
 bool reservation_plan::allows(const endpoint& it, const task_id& id, const resources& demand,
--- a/savoryreach/dispatch/reservation_plan.hpp
+++ b/savoryreach/dispatch/reservation_plan.hpp
@@ -10,10 +10,21 @@
 #include <absl/time/time.h>
 
 #include <cstddef>
+#include <optional>
+#include <string>
 
 namespace savoryreach::dispatch
 {
 
+/// Room that was reserved for a task.
+struct reserved_room
+{
+    std::string host;
+    absl::Time start_at; ///< expected
+
+    friend bool operator==(const reserved_room&, const reserved_room&) = default;
+};
+
 /// Reserves room for wide tasks that fit on no endpoint now, so that narrower tasks which start
 /// meanwhile (backfill) do not delay them: such a task must end before the reserved start, or leave
 /// the reserved room free. Load: wide tasks behind a stream of narrow ones, which otherwise take
@@ -33,10 +44,11 @@
     /// call.
     void refresh();
     void clear();
-    /// Reserves room for a task that waits, unless the endpoints are reserved or its claim has
-    /// expired.
-    void reserve(const task_id& id, const job& owner, const job_step& step,
-                 const endpoint_ranking& ranking, const speed_model& speeds, absl::Time now);
+    /// Reserves room for a task that waits. Nullopt if it has a reservation, if its claim has
+    /// expired, or if no more endpoints may be reserved.
+    std::optional<reserved_room> reserve(const task_id& id, const job& owner, const job_step& step,
+                                         const endpoint_ranking& ranking, const speed_model& speeds,
+                                         absl::Time now);
     /// True if a run of \p demand on \p it until \p end leaves the reserved start as planned.
     [[nodiscard]] bool allows(const endpoint& it, const task_id& id, const resources& demand,
                               absl::Time end) const;
--- a/tests/dispatch/reservation_plan_test.cpp
+++ b/tests/dispatch/reservation_plan_test.cpp
@@ -52,9 +52,9 @@
         run.sent_at = run.confirmed_at = now;
         it.add(id, run);
     }
-    void reserve(std::uint32_t index, absl::Time at = now)
+    std::optional<reserved_room> reserve(std::uint32_t index, absl::Time at = now)
     {
-        plan_.reserve({1, 0, index}, owner_, step_, *index_.find("svc"), speeds_, at);
+        return plan_.reserve({1, 0, index}, owner_, step_, *index_.find("svc"), speeds_, at);
     }
     [[nodiscard]] bool allows(const std::string& host, const resources& demand,
                               absl::Duration length)
@@ -96,7 +96,7 @@
 
 TEST_F(reserves, wide_task_gets_the_endpoint_where_it_ends_first)
 {
-    reserve(0);
+    EXPECT_EQ(reserve(0), (reserved_room{"a", now + absl::Milliseconds(100)}));
     EXPECT_FALSE(allows("a", wide, absl::Milliseconds(200)));
     EXPECT_TRUE(allows("b", wide, absl::Milliseconds(200)));
 }
