--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -344,12 +344,7 @@
                            absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
     it.may_have_run = may_have_run;
-    it.plans_room = router_.owns_room(queue.service());
-    if (const auto rank = std::min(router_.priority_rank(queue), max_priority_ranks);
-        it.plans_room && rank > 0)
-    {
-        it.order_at = it.objective_at + objective * (priority_step * static_cast<double>(rank));
-    }
+    apply_priority(it);
     it.answer_deadline = std::min(it.arrived_at + objective * deadline_factor,
                                   now + absl::Milliseconds(request.remaining_ms()));
     const bool refusable = !may_have_run;
@@ -388,6 +383,17 @@
     finish_if_done(added);
 }
 
+void dispatcher::apply_priority(job& it) const
+{
+    it.plans_room = router_.owns_room(it.queue.service());
+    const auto rank = std::min(router_.priority_rank(it.queue), max_priority_ranks);
+    if (it.plans_room && rank > 0)
+    {
+        it.order_at = it.objective_at + (it.objective_at - it.arrived_at) *
+                                            (priority_step * static_cast<double>(rank));
+    }
+}
+
 /// A deferred job starts after all waiting jobs, and has until its answer deadline.
 admission_inputs dispatcher::admission_inputs_of(const job& it, bool has_share, double rate)
 {
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -133,6 +133,8 @@
     void submit(const request_ref& origin, const schema::submit_job& request, bool may_have_run);
     void accept(const request_ref& origin, const schema::submit_job& request,
                 const schema::queue_config& queue, bool may_have_run);
+    /// Sets the job's place in the order by the priority of its queue.
+    void apply_priority(job& it) const;
     [[nodiscard]] admission_inputs admission_inputs_of(const job& it, bool has_share, double rate);
     [[nodiscard]] std::optional<std::string> find_spec_error(const schema::job_spec& spec);
     /// Refuses a job that the configuration in force has no queue for, or says that its outcome is
