--- a/savoryreach/dispatch/core_locator.cpp
+++ b/savoryreach/dispatch/core_locator.cpp
@@ -35,6 +35,10 @@
     }
     if (view.serving())
     {
+        if (view.relays_size() > 0 && view.term() >= members_term_)
+        {
+            relays_.assign(view.relays().begin(), view.relays().end());
+        }
         if (!dispatcher_ || view.term() >= dispatcher_->term)
         {
             dispatcher_ = dispatcher_ref{from, view.term()};
--- a/savoryreach/dispatch/core_locator.hpp
+++ b/savoryreach/dispatch/core_locator.hpp
@@ -44,6 +44,8 @@
     [[nodiscard]] absl::Time confirmed_at() const { return confirmed_at_; }
     /// Addresses to which links are wanted.
     [[nodiscard]] std::vector<std::string> addresses(absl::Time now) const;
+    /// Processes outside the core that pass messages on, from the last view that named any.
+    [[nodiscard]] const std::vector<schema::core_address>& relays() const { return relays_; }
     /// The view of the core that this process sends to others.
     [[nodiscard]] schema::core_view relayed_view() const;
 
@@ -56,6 +58,7 @@
     absl::Time confirmed_at_ = absl::InfinitePast();
     std::uint64_t members_term_ = 0;
     std::vector<schema::core_address> members_; ///< from the view of the highest term
+    std::vector<schema::core_address> relays_;
     absl::btree_set<std::string> former_; ///< earlier members, used while no dispatcher is known
 };
 
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -16,6 +16,8 @@
   dispatch/placement.cpp
   dispatch/placement_index.cpp
   dispatch/queue_router.cpp
+  dispatch/relay_path.cpp
+  dispatch/relay_table.cpp
   dispatch/request_forwarder.cpp
   dispatch/speed_model.cpp
   dispatch/task_id.cpp)
--- a/tests/dispatch/sources.cmake
+++ b/tests/dispatch/sources.cmake
@@ -6,4 +6,5 @@
   dispatch/fleet_test.cpp
   dispatch/fleet_world.cpp
   dispatch/pause_policy_test.cpp
-  dispatch/policy_test.cpp)
+  dispatch/policy_test.cpp
+  dispatch/relay_test.cpp)
