Agents and fronts without a disk reach the dispatcher through a relay

Hosts that are cut off from the core had no dispatcher: their leases lapsed, and a front refused its clients. Fronts without a disk now pass messages on; only where two or more failures are tolerated.

--- a/daemons/fleet_main.cpp
+++ b/daemons/fleet_main.cpp
@@ -239,7 +239,7 @@
     process_signals signals(io);
     daemon::agent_node node(io, clock, hybrid,
                             {config.node_name, config.ip, config.seeds, config.longest_lease,
-                             config.heartbeat_interval});
+                             config.heartbeat_interval, config.tolerated_failures});
     platform::endpoint_client calls(io, config.ip, config.endpoint_address, node);
     platform::agent_api api(io, node);
     node.start(calls);
--- a/savoryreach/daemon/agent_node.cpp
+++ b/savoryreach/daemon/agent_node.cpp
@@ -32,22 +32,30 @@
     : options_(std::move(options)), clock_(clock), hybrid_(hybrid), events_(clock_),
       process_nonce_(std::random_device()()), locator_(options_.seeds), ticks_(io)
 {
+    const auto link_name =
+        absl::StrCat(options_.host, "/", absl::StrFormat("%08x", process_nonce_));
     hub_ = std::make_unique<net::link_hub>(
-        io,
-        net::link_hub::options{
-            absl::StrCat(options_.host, "/", absl::StrFormat("%08x", process_nonce_)), "agent", "",
-            options_.ip, false},
+        io, net::link_hub::options{link_name, "agent", "", options_.ip, false},
         net::link_hub::callbacks{
-            .up = [](const net::link_peer&) {},
+            .up = [this](const net::link_peer& it) { path_->on_link_up(it, clock_.now()); },
             .received = [this](const net::link_peer& it, const schema::envelope& message)
             { on_message(it, message); },
             .down =
                 [this](const net::link_peer& it, const std::string& reason)
             {
-                events_.record("link_lost", {{"peer", it.name}, {"reason", reason}});
-                locator_.on_down(it.name);
+                on_link_down(it, reason);
             }},
         clock_, hybrid_);
+    path_ = std::make_unique<relay_client>(link_name,
+                                           options_.tolerated_failures >= min_failures_for_relays,
+                                           *hub_, locator_, events_);
+}
+
+void agent_node::on_link_down(const net::link_peer& peer, const std::string& reason)
+{
+    events_.record("link_lost", {{"peer", peer.name}, {"reason", reason}});
+    locator_.on_down(peer.name);
+    path_->on_link_down(peer.name);
 }
 
 void agent_node::start(dispatch::endpoint_calls& calls)
@@ -73,10 +81,11 @@
     if (now >= next_link_tick_)
     {
         next_link_tick_ = now + link_tick_interval;
-        hub_->want(locator_.addresses(now));
+        hub_->want(path_->addresses(now));
         hub_->tick();
     }
-    if (const auto dispatcher = locator_.dispatcher(now))
+    path_->tick(now);
+    if (const auto dispatcher = path_->dispatcher(now))
     {
         agent_->on_dispatcher(dispatcher->name, dispatcher->term);
         if (now >= next_contact_)
@@ -85,7 +94,7 @@
             schema::envelope message;
             message.mutable_contact()->set_stamp_us(absl::ToUnixMicros(now));
             message.mutable_contact()->set_term(dispatcher->term);
-            hub_->send(base::node_name(dispatcher->name), std::move(message));
+            path_->send(dispatcher->name, std::move(message));
         }
     }
     else
@@ -104,6 +113,22 @@
     {
         locator_.on_view(from.name, message.core_view(), clock_.now());
     }
+    else if (message.has_relayed())
+    {
+        if (const auto* inner = path_->on_relayed(from, message.relayed(), clock_.now()))
+        {
+            on_dispatcher_message(*inner);
+        }
+    }
+    else if (!path_->is_relayed())
+    {
+        on_dispatcher_message(message);
+    }
+    schedule_tick();
+}
+
+void agent_node::on_dispatcher_message(const schema::envelope& message)
+{
     if (message.has_contact() && message.contact().is_reply())
     {
         agent_->on_contact(message.contact().term(),
@@ -113,16 +138,15 @@
     {
         agent_->on_orders(message.endpoint_orders());
     }
-    schedule_tick();
 }
 
 void agent_node::send_report(schema::endpoint_report report)
 {
-    if (const auto dispatcher = locator_.dispatcher(clock_.now()))
+    if (const auto dispatcher = path_->dispatcher(clock_.now()))
     {
         schema::envelope message;
         *message.mutable_endpoint_report() = std::move(report);
-        hub_->send(base::node_name(dispatcher->name), std::move(message));
+        path_->send(dispatcher->name, std::move(message));
     }
 }
 
@@ -138,6 +162,8 @@
         static_cast<double>(agent_->run_count());
     metrics_.gauge_of("savoryreach_endpoint_silent", "1 while the endpoint does not answer") =
         agent_->is_silent() ? 1.0 : 0.0;
+    metrics_.gauge_of("savoryreach_relay_path", "1 while a relay is the path to the dispatcher") =
+        path_->is_relayed() ? 1.0 : 0.0;
     write_descriptor_metrics(metrics_);
     hub_->write_metrics(metrics_);
     for (const auto& it : metric_sources_)
--- a/savoryreach/daemon/agent_node.hpp
+++ b/savoryreach/daemon/agent_node.hpp
@@ -3,6 +3,7 @@
 
 #include "savoryreach/base/clock.hpp"
 #include "savoryreach/daemon/decision_log.hpp"
+#include "savoryreach/daemon/relay_client.hpp"
 #include "savoryreach/daemon/tick_loop.hpp"
 #include "savoryreach/dispatch/core_locator.hpp"
 #include "savoryreach/dispatch/endpoint_agent.hpp"
@@ -25,9 +26,10 @@
 {
     std::string host;
     std::string ip;
-    std::vector<std::string> seeds;    ///< addresses to connect to first
-    absl::Duration longest_lease;      ///< of a run on the endpoint
-    absl::Duration heartbeat_interval; ///< of the endpoint
+    std::vector<std::string> seeds;       ///< addresses to connect to first
+    absl::Duration longest_lease;         ///< of a run on the endpoint
+    absl::Duration heartbeat_interval;    ///< of the endpoint
+    std::uint32_t tolerated_failures = 1; ///< core members that may fail at the same time
 };
 
 /// The agent process on an endpoint's host: its links to the core and the event loop of its agent.
@@ -57,7 +59,10 @@
     void send_report(schema::endpoint_report report) override;
 
 private:
+    void on_link_down(const net::link_peer& peer, const std::string& reason);
     void on_message(const net::link_peer& from, const schema::envelope& message);
+    /// Handles a message of the dispatcher, over the current path.
+    void on_dispatcher_message(const schema::envelope& message);
     std::chrono::milliseconds tick();
 
     agent_node_options options_;
@@ -69,6 +74,7 @@
     std::uint64_t process_nonce_; ///< random; distinguishes successive processes on one host
     std::unique_ptr<net::link_hub> hub_;
     dispatch::core_locator locator_;
+    std::unique_ptr<relay_client> path_; ///< to the dispatcher
     std::unique_ptr<dispatch::endpoint_agent> agent_;
     tick_loop ticks_;
     absl::Time next_link_tick_ = absl::InfinitePast();
--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -18,6 +18,10 @@
 /// Interval at which the dispatcher sends the core view to all linked processes. A view is valid
 /// for more than four intervals, which allows for lost and late messages.
 constexpr absl::Duration broadcast_interval = absl::Milliseconds(250);
+/// Interval at which the view names the relays even if they are the same.
+constexpr absl::Duration relays_interval = absl::Seconds(2);
+/// A view names at most this many relays.
+constexpr std::size_t max_relays = 8;
 /// Interval between updates of the link hub.
 constexpr absl::Duration link_tick_interval = absl::Milliseconds(100);
 /// Longest pause between ticks of a core member and of a process outside the core.
@@ -83,6 +87,13 @@
                 log_accept_state("links", reason);
             }},
         clock_, hybrid_);
+    const bool has_relays = options_.tolerated_failures >= min_failures_for_relays;
+    path_ = std::make_unique<relay_client>(link_name_, has_relays && !identity_, *hub_, locator_,
+                                           events_);
+    if (has_relays && !identity_)
+    {
+        relay_ = std::make_unique<relay_service>(*hub_, events_, metrics_);
+    }
     if (auto listen_error = hub_->start())
     {
         return listen_error;
@@ -123,7 +134,7 @@
     if (now >= next_link_tick_)
     {
         next_link_tick_ = now + link_tick_interval;
-        auto addresses = locator_.addresses(now);
+        auto addresses = path_->addresses(now);
         if (member_)
         {
             for (const auto& it : member_->members().members())
@@ -134,17 +145,15 @@
         hub_->want(addresses);
         hub_->tick();
     }
+    update_relaying(now);
     if (is_dispatcher() && now >= next_broadcast_)
     {
         broadcast_core_view();
     }
     const auto dispatcher =
         is_dispatcher() ? std::optional(dispatch::dispatcher_ref{link_name_, member_->term()})
-                        : locator_.dispatcher(now);
-    requests_.set_heard_at(
-        is_dispatcher() || !dispatcher
-            ? now
-            : std::max(locator_.confirmed_at(), hub_->heard_at(dispatcher->name)));
+                        : path_->dispatcher(now);
+    requests_.set_heard_at(is_dispatcher() || !dispatcher ? now : path_->heard_at(*dispatcher));
     requests_.set_dispatcher(dispatcher);
     requests_.tick();
     if (is_dispatcher())
@@ -154,6 +163,46 @@
     return member_ ? max_core_pause : max_front_pause;
 }
 
+void fleet_node::update_relaying(absl::Time now)
+{
+    path_->tick(now);
+    if (relay_)
+    {
+        auto direct = path_->is_relayed() ? std::nullopt : locator_.dispatcher(now);
+        if (direct && now >= path_->heard_at(*direct) + dispatch::relay_path::take_after)
+        {
+            direct.reset();
+        }
+        relay_->update(direct, now);
+    }
+    for (const auto& it : relayed_peers_.expire(now))
+    {
+        dispatcher_->on_agent_down(it);
+    }
+}
+
+/// Fronts without a disk, in the order of their names.
+std::vector<schema::core_address> fleet_node::known_relays() const
+{
+    std::vector<schema::core_address> out;
+    if (options_.tolerated_failures < min_failures_for_relays)
+    {
+        return out;
+    }
+    for (const auto& it : hub_->peers())
+    {
+        if (!it.can_store && !it.address.empty())
+        {
+            auto& added = out.emplace_back();
+            added.set_name(it.name);
+            added.set_address(it.address);
+        }
+    }
+    std::ranges::sort(out, {}, &schema::core_address::name);
+    out.resize(std::min(out.size(), max_relays));
+    return out;
+}
+
 /// Starts and stops the dispatcher with the role in the log: the leader that can serve is the
 /// dispatcher.
 void fleet_node::update_role()
@@ -177,7 +226,7 @@
     }
 }
 
-schema::core_view fleet_node::known_core_view() const
+schema::core_view fleet_node::known_core_view(bool with_relays) const
 {
     if (!is_dispatcher())
     {
@@ -193,14 +242,33 @@
         added.set_name(it.name());
         added.set_address(it.address());
     }
+    if (with_relays)
+    {
+        for (auto& it : known_relays())
+        {
+            *out.add_relays() = std::move(it);
+        }
+    }
     return out;
 }
 
 void fleet_node::broadcast_core_view()
 {
-    next_broadcast_ = clock_.now() + broadcast_interval;
+    const auto now = clock_.now();
+    next_broadcast_ = now + broadcast_interval;
+    std::string relays;
+    for (const auto& it : known_relays())
+    {
+        absl::StrAppend(&relays, it.name(), ";");
+    }
+    const bool with_relays = relays != announced_relays_ || now >= next_relays_;
+    if (with_relays)
+    {
+        announced_relays_ = relays;
+        next_relays_ = now + relays_interval;
+    }
     schema::envelope message;
-    *message.mutable_core_view() = known_core_view();
+    *message.mutable_core_view() = known_core_view(with_relays);
     for (const auto& it : hub_->peers())
     {
         hub_->send(base::node_name(it.name), message);
@@ -210,8 +278,9 @@
 void fleet_node::on_link_up(const net::link_peer& peer)
 {
     schema::envelope message;
-    *message.mutable_core_view() = known_core_view();
+    *message.mutable_core_view() = known_core_view(true);
     hub_->send(base::node_name(peer.name), message);
+    path_->on_link_up(peer, clock_.now());
 }
 
 void fleet_node::on_message(const net::link_peer& from, const schema::envelope& message) noexcept
@@ -224,26 +293,31 @@
             // Processes that are linked only to this one learn the new members from it.
             broadcast_core_view();
         }
+        if (relay_ && message.core_view().serving())
+        {
+            relay_->on_view(from.name);
+        }
         break;
-    case schema::envelope::kFrontRequest:
-        if (is_dispatcher())
+    case schema::envelope::kRelayRequest:
+        if (relay_)
         {
-            dispatcher_->on_front_request(from.name, message.front_request());
+            relay_->on_request(from.name, clock_.now());
         }
         break;
-    case schema::envelope::kFrontAnswer:
-        requests_.on_answer(message.front_answer());
+    case schema::envelope::kRelayed:
+        on_relayed(from, message.relayed());
+        break;
+    case schema::envelope::kFrontRequest:
+        relayed_peers_.on_direct(from.name);
+        [[fallthrough]];
+    case schema::envelope::kEndpointReport:
+        on_dispatcher_message(from.name, from.name, message);
         break;
     case schema::envelope::kContact:
-        if (is_dispatcher() && message.contact().term() == member_->term())
-        {
-            schema::envelope reply = message;
-            reply.mutable_contact()->set_is_reply(true);
-            hub_->send(base::node_name(from.name), std::move(reply));
-        }
+        on_dispatcher_message(from.name, from.name, message);
         return;
-    case schema::envelope::kEndpointReport:
-        dispatcher_->on_report(from.name, message.endpoint_report());
+    case schema::envelope::kFrontAnswer:
+        requests_.on_answer(message.front_answer());
         break;
     default:
         if (member_)
@@ -254,11 +328,92 @@
     schedule_tick();
 }
 
+void fleet_node::on_dispatcher_message(const std::string& peer, const std::string& link,
+                                       const schema::envelope& message)
+{
+    if (message.has_endpoint_report())
+    {
+        dispatcher_->on_report(link, message.endpoint_report());
+    }
+    else if (message.has_front_request() && is_dispatcher())
+    {
+        dispatcher_->on_front_request(peer, message.front_request());
+    }
+    else if (message.has_contact() && is_dispatcher() &&
+             message.contact().term() == member_->term())
+    {
+        schema::envelope reply = message;
+        reply.mutable_contact()->set_is_reply(true);
+        send_to(link, std::move(reply));
+    }
+}
+
+void fleet_node::on_relayed(const net::link_peer& from, const schema::relayed& message)
+{
+    if (relay_ && relay_->on_relayed(from.name, message))
+    {
+        return;
+    }
+    if (!member_)
+    {
+        const auto* inner = path_->on_relayed(from, message, clock_.now());
+        if (inner != nullptr && inner->has_front_answer())
+        {
+            requests_.on_answer(inner->front_answer());
+        }
+        return;
+    }
+    if (!is_dispatcher() || from.can_store || from.address.empty())
+    {
+        return;
+    }
+    if (!message.has_message())
+    {
+        if (const auto link = relayed_peers_.remove(message.peer(), from.name); !link.empty())
+        {
+            dispatcher_->on_agent_down(link);
+        }
+        return;
+    }
+    if (!dispatch::may_relay_up(message.message()))
+    {
+        return;
+    }
+    if (const auto link = relayed_peers_.on_message(message.peer(), from.name, clock_.now());
+        !link.empty())
+    {
+        on_dispatcher_message(message.peer(), link, message.message());
+    }
+}
+
+void fleet_node::send_to(const std::string& link, schema::envelope message)
+{
+    const auto* route = relayed_peers_.find(link);
+    if (route == nullptr)
+    {
+        hub_->send(base::node_name(link), std::move(message));
+        return;
+    }
+    schema::envelope outer;
+    outer.mutable_relayed()->set_peer(route->peer);
+    *outer.mutable_relayed()->mutable_message() = std::move(message);
+    hub_->send(base::node_name(route->relay), std::move(outer));
+}
+
 void fleet_node::on_link_down(const net::link_peer& peer, const std::string& reason) noexcept
 {
     events_.record("link_lost", {{"peer", peer.name}, {"reason", reason}});
     locator_.on_down(peer.name);
+    path_->on_link_down(peer.name);
+    if (relay_)
+    {
+        relay_->on_link_down(peer.name);
+    }
     dispatcher_->on_agent_down(peer.name);
+    for (const auto& it : relayed_peers_.remove_relay(peer.name))
+    {
+        dispatcher_->on_agent_down(it);
+    }
     schedule_tick();
 }
 
@@ -266,7 +421,7 @@
 {
     schema::envelope message;
     *message.mutable_endpoint_orders() = std::move(orders);
-    hub_->send(base::node_name(agent), std::move(message));
+    send_to(agent, std::move(message));
 }
 
 void fleet_node::answer(const std::string& front, schema::front_answer answer)
@@ -280,7 +435,9 @@
     }
     schema::envelope message;
     *message.mutable_front_answer() = std::move(answer);
-    hub_->send(base::node_name(front), std::move(message));
+    const auto* route = relayed_peers_.latest(front);
+    send_to(route != nullptr ? dispatch::relayed_link_name(front, route->relay) : front,
+            std::move(message));
 }
 
 std::optional<std::uint64_t> fleet_node::propose(schema::command command)
@@ -305,7 +462,7 @@
     }
     schema::envelope message;
     *message.mutable_front_request() = std::move(request);
-    hub_->send(base::node_name(dispatcher), std::move(message));
+    path_->send(dispatcher, std::move(message));
 }
 
 /// A leader without recent contact to a majority makes no decisions but keeps its state, since the
@@ -372,6 +529,10 @@
             counts.cancelled);
     counter("savoryreach_starts_total", "starts ordered", counts.starts);
     counter("savoryreach_failed_runs_total", "runs that ended failed", counts.retried_runs);
+    gauge("savoryreach_relay_path", "1 while a relay is the path to the dispatcher",
+          path_->is_relayed() ? 1.0 : 0.0);
+    gauge("savoryreach_relayed_links", "peers that the dispatcher hears through relays",
+          static_cast<double>(relayed_peers_.size()));
     write_descriptor_metrics(metrics_);
     hub_->write_metrics(metrics_);
     for (const auto& it : metric_sources_)
--- a/savoryreach/daemon/fleet_node.hpp
+++ b/savoryreach/daemon/fleet_node.hpp
@@ -4,6 +4,8 @@
 #include "savoryreach/base/clock.hpp"
 #include "savoryreach/daemon/core_member.hpp"
 #include "savoryreach/daemon/decision_log.hpp"
+#include "savoryreach/daemon/relay_client.hpp"
+#include "savoryreach/daemon/relay_service.hpp"
 #include "savoryreach/daemon/tick_loop.hpp"
 #include "savoryreach/dispatch/core_locator.hpp"
 #include "savoryreach/dispatch/dispatcher.hpp"
@@ -81,9 +83,17 @@
     void on_message(const net::link_peer& from, const schema::envelope& message) noexcept;
     void on_link_down(const net::link_peer& peer, const std::string& reason) noexcept;
     std::chrono::milliseconds tick();
+    void on_relayed(const net::link_peer& from, const schema::relayed& message);
+    /// Handles a message to the dispatcher on the link \p link of \p peer.
+    void on_dispatcher_message(const std::string& peer, const std::string& link,
+                               const schema::envelope& message);
+    /// Sends over the link with the name \p link, through a relay or not.
+    void send_to(const std::string& link, schema::envelope message);
+    void update_relaying(absl::Time now);
+    [[nodiscard]] std::vector<schema::core_address> known_relays() const;
     void update_role();
     void broadcast_core_view();
-    [[nodiscard]] schema::core_view known_core_view() const;
+    [[nodiscard]] schema::core_view known_core_view(bool with_relays) const;
     [[nodiscard]] bool is_dispatcher() const;
 
     boost::asio::io_context& io_;
@@ -100,6 +110,11 @@
     dispatch::fleet_store empty_store_; ///< for the dispatcher object of a process outside the core
     std::unique_ptr<dispatch::dispatcher> dispatcher_;
     dispatch::core_locator locator_;
+    std::unique_ptr<relay_client> path_; ///< to the dispatcher
+    std::unique_ptr<relay_service> relay_;
+    dispatch::relayed_peers relayed_peers_;
+    std::string announced_relays_; ///< names in the last view with relays
+    absl::Time next_relays_ = absl::InfinitePast();
     dispatch::request_forwarder requests_;
     tick_loop ticks_;
     std::uint64_t leading_term_ = 0;
--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -12,5 +12,7 @@
   daemon/logger.cpp
   daemon/metrics_service.cpp
   daemon/process_setup.cpp
+  daemon/relay_client.cpp
+  daemon/relay_service.cpp
   daemon/run_loop.cpp
   daemon/tick_loop.cpp)
--- a/savoryreach/dispatch/relay_path.cpp
+++ b/savoryreach/dispatch/relay_path.cpp
@@ -17,6 +17,15 @@
 
 void relay_path::set_relays(const std::vector<schema::core_address>& relays)
 {
+    const auto is_equal = [](const schema::core_address& a, const schema::core_address& b)
+    {
+        return a.name() == b.name() && a.address() == b.address();
+    };
+    if (std::ranges::equal(relays, known_, is_equal))
+    {
+        return;
+    }
+    known_ = relays;
     std::vector<std::pair<std::uint64_t, const schema::core_address*>> order;
     for (const auto& it : relays)
     {
--- a/savoryreach/dispatch/relay_path.hpp
+++ b/savoryreach/dispatch/relay_path.hpp
@@ -83,7 +83,8 @@
     bool take(absl::Time now);
 
     std::string self_;
-    std::vector<schema::core_address> relays_; ///< in the order in which they are tried
+    std::vector<schema::core_address> known_;
+    std::vector<schema::core_address> relays_; ///< those of other processes, in the order in which they are tried
     absl::btree_map<std::string, offer> offers_;
     std::string relay_;
     dispatcher_ref dispatcher_;
--- a/savoryreach/net/link.hpp
+++ b/savoryreach/net/link.hpp
@@ -46,6 +46,7 @@
     [[nodiscard]] absl::Time created_at() const { return created_at_; }
     [[nodiscard]] absl::Time heard_at() const { return heard_at_; }
     [[nodiscard]] absl::Time sent_at() const { return sent_at_; }
+    [[nodiscard]] std::size_t queued_bytes() const { return queued_.size() + writing_.size(); }
 
     std::string peer;            ///< name of the other process; empty until its hello
     std::string address;         ///< remote address of an outgoing connection; empty if accepted
--- a/savoryreach/net/link_hub.cpp
+++ b/savoryreach/net/link_hub.cpp
@@ -311,6 +311,12 @@
     return out;
 }
 
+std::size_t link_hub::queued_bytes(const std::string& peer) const
+{
+    const auto it = find(peer);
+    return it ? it->queued_bytes() : 0;
+}
+
 std::vector<link_peer> link_hub::peers() const
 {
     std::vector<link_peer> out;
--- a/savoryreach/net/link_hub.hpp
+++ b/savoryreach/net/link_hub.hpp
@@ -73,6 +73,8 @@
     [[nodiscard]] bool is_linked(const std::string& peer) const;
     /// When the linked process \p peer was last heard; infinite past if it is not linked.
     [[nodiscard]] absl::Time heard_at(const std::string& peer) const;
+    /// Bytes that wait to be sent to \p peer.
+    [[nodiscard]] std::size_t queued_bytes(const std::string& peer) const;
     [[nodiscard]] std::vector<link_peer> peers() const;
     void write_metrics(observe::metrics& out) const;
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -128,6 +128,8 @@
         it["nodeName"] = name;
         it["ip"] = ip;
         it["zone"] = "z1";
+        it["zones"]["z1"] = "r1";
+        it["limits"] = Json::Value(Json::objectValue);
         it["internalPorts"].append(internal_port);
         it["internalPorts"].append(internal_port + 15);
         it["seeds"] = seeds_;
