--- a/savoryreach/daemon/fleet_sources.cmake
+++ b/savoryreach/daemon/fleet_sources.cmake
@@ -13,5 +13,7 @@
   daemon/metrics_service.cpp
   daemon/process_setup.cpp
   daemon/rejection_log.cpp
+  daemon/relay_client.cpp
+  daemon/relay_service.cpp
   daemon/run_loop.cpp
   daemon/tick_loop.cpp)
--- a/savoryreach/dispatch/sources.cmake
+++ b/savoryreach/dispatch/sources.cmake
@@ -19,6 +19,8 @@
   dispatch/placement_index.cpp
   dispatch/prior_runs.cpp
   dispatch/queue_router.cpp
+  dispatch/relay_path.cpp
+  dispatch/relay_table.cpp
   dispatch/request_forwarder.cpp
   dispatch/reservation_plan.cpp
   dispatch/room_forecast.cpp
--- a/savoryreach/net/link.hpp
+++ b/savoryreach/net/link.hpp
@@ -58,6 +58,7 @@
     /// When the write in progress began; infinite future without one.
     [[nodiscard]] absl::Time writing_since() const { return writing_since_; }
     [[nodiscard]] std::string remote_ip() const;
+    [[nodiscard]] std::size_t queued_bytes() const { return queued_.size() + writing_.size(); }
 
     std::string peer;             ///< name of the other process; empty until its hello
     std::string address;          ///< remote address of an outgoing connection; empty if accepted
--- a/tests/dispatch/sources.cmake
+++ b/tests/dispatch/sources.cmake
@@ -10,5 +10,6 @@
   dispatch/pause_policy_test.cpp
   dispatch/placement_replay_test.cpp
   dispatch/policy_test.cpp
+  dispatch/relay_test.cpp
   dispatch/reservation_plan_test.cpp
   dispatch/takeover_test.cpp)
--- a/tests/soak/sources.cmake
+++ b/tests/soak/sources.cmake
@@ -26,3 +26,4 @@
 savoryreach_soak(held_connections_test soak/held_connections_test.cpp)
 # Bounds of memory, with a crowd of connections: nothing runs beside them.
 savoryreach_soak(outside_limits_test soak/outside_limits_test.cpp PROPERTIES RUN_SERIAL TRUE)
+savoryreach_soak(relay_soak_test soak/relay_test.cpp)
