New jobs that a client may have repeated wait for the leases of absent hosts

A client whose front is lost with the dispatcher sends its job again 1.3 s later through another front, which has not forwarded it. The next dispatcher took it as new while a run of it on an absent host could still have a lease for 0.4 s. Found by reading; the old wait for all hosts had excluded it. New jobs that arrive in that time wait until all hosts have listed their runs or the leases are over. Guarded by records.job_that_may_be_repeated_*.

--- a/savoryreach/daemon/fleet_node.cpp
+++ b/savoryreach/daemon/fleet_node.cpp
@@ -33,8 +33,8 @@
 constexpr absl::Duration min_replace_after = absl::Seconds(2);
 constexpr std::chrono::milliseconds max_front_pause(50);
 /// Deployments that tolerate this many failures have fronts that weigh jobs while no dispatcher
-/// answers: with a smaller core a front holds all.
-constexpr std::uint32_t min_failures_for_grown = 2;
+/// answers; with a smaller core a front holds all.
+constexpr std::uint32_t min_failures_for_weighing = 2;
 
 } // namespace
 
@@ -44,7 +44,7 @@
       locator_(options_.seeds),
       requests_(clock_, *this, events_, metrics_,
                 static_cast<std::uint64_t>(absl::ToUnixNanos(clock_.wall_now())),
-                options_.tolerated_failures >= min_failures_for_grown),
+                options_.tolerated_failures >= min_failures_for_weighing),
       ticks_(io)
 {
 }
@@ -217,7 +217,7 @@
     if (serving && !dispatcher_->is_leading())
     {
         leading_term_ = member_->term();
-        dispatcher_->lead(member_->term());
+        dispatcher_->lead(member_->term(), dispatcher_lost_at_);
         broadcast_core_view();
     }
     if (member_->applied_index() != last_applied_)
@@ -404,6 +404,10 @@
 void fleet_node::on_link_down(const net::link_peer& peer, const std::string& reason) noexcept
 {
     events_.record("link_lost", {{"peer", peer.name}, {"reason", reason}});
+    if (const auto known = locator_.dispatcher(clock_.now()); known && known->name == peer.name)
+    {
+        dispatcher_lost_at_ = clock_.now();
+    }
     locator_.on_down(peer.name);
     path_->on_link_down(peer.name);
     if (relay_)
--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -56,14 +56,14 @@
 {
 }
 
-void dispatcher::lead(std::uint64_t term)
+void dispatcher::lead(std::uint64_t term, absl::Time predecessor_lost_at)
 {
     assert(!leading_);
     leading_ = true;
     term_ = term;
     const auto now = clock_.now();
     led_at_ = now;
-    prior_runs_.begin(now, {store_.hosts().begin(), store_.hosts().end()});
+    prior_runs_.begin(now, {store_.hosts().begin(), store_.hosts().end()}, predecessor_lost_at);
     orphans_expire_at_ = now + orphan_retention;
     router_.load(store_.config());
     applied_version_ = store_.config().version();
@@ -369,6 +369,7 @@
                            absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
     it.may_have_run = may_have_run;
+    it.may_be_repeated = prior_runs_.may_be_repeated(now);
     it.earliest_read_at = earliest_read_at(request);
     apply_priority(it);
     it.answer_deadline = std::min(it.arrived_at + objective * deadline_factor,
--- a/savoryreach/dispatch/dispatcher.hpp
+++ b/savoryreach/dispatch/dispatcher.hpp
@@ -75,8 +75,9 @@
 
     /// Begins to dispatch in \p term. A host gets starts once it has listed its runs. Tasks of jobs
     /// that an earlier dispatcher may have started wait until every host has, or its leases have
-    /// expired.
-    void lead(std::uint64_t term);
+    /// expired. \p predecessor_lost_at is when the link to the former dispatcher was lost; infinite
+    /// past if there was none.
+    void lead(std::uint64_t term, absl::Time predecessor_lost_at = absl::InfinitePast());
     /// Discards all state; the fronts repeat their requests to the next dispatcher.
     void stop_leading();
 
@@ -227,7 +228,9 @@
     /// listed its runs.
     [[nodiscard]] bool awaits_lists(const job& it) const
     {
-        return it.may_have_run && !prior_runs_.are_listed();
+        return !prior_runs_.are_listed() &&
+               (it.may_have_run ||
+                (it.may_be_repeated && prior_runs_.may_be_repeated(clock_.now())));
     }
     /// Declared core-seconds that the usable endpoints complete in a second.
     [[nodiscard]] double rate();
--- a/tests/dispatch/takeover_test.cpp
+++ b/tests/dispatch/takeover_test.cpp
@@ -74,6 +74,21 @@
     EXPECT_FALSE(is_new(prior_runs::min_departure_time));
 }
 
+// A client repeated its job through another front after its own was lost with the dispatcher, and
+// the first run still had a lease on an absent host.
+TEST_F(records, job_that_may_be_repeated_waits_for_the_leases_of_absent_hosts)
+{
+    const auto lost_at = began_at_ - absl::Milliseconds(600);
+    runs_.begin(began_at_, {"a", "b"}, lost_at);
+    EXPECT_FALSE(runs_.may_be_repeated(began_at_));
+    const auto repeated_at = lost_at + absl::Milliseconds(1300);
+    EXPECT_TRUE(runs_.may_be_repeated(repeated_at));
+    EXPECT_FALSE(runs_.may_be_repeated(lost_at + prior_runs::last_lease_end));
+    runs_.on_list("a", long_ago_);
+    runs_.on_list("b", long_ago_);
+    EXPECT_FALSE(runs_.may_be_repeated(repeated_at)) << "all runs are known";
+}
+
 class takeover : public ::testing::Test
 {
 protected:
