--- a/savoryreach/dispatch/dispatcher.cpp
+++ b/savoryreach/dispatch/dispatcher.cpp
@@ -41,6 +41,36 @@
 /// Answer deadline of a job as a multiple of its objective.
 constexpr double deadline_factor = 3.0;
 
+/// Adds the steps of \p spec to \p it. The next attempt of each task is the one after \p
+/// last_attempt.
+void add_steps(job& it, const schema::job_spec& spec, std::uint32_t last_attempt,
+               const speed_model& speeds)
+{
+    std::vector<absl::Duration> critical_paths;
+    for (const auto& step_spec : spec.steps())
+    {
+        job_step step;
+        step.spec = step_spec;
+        step.demand = {step_spec.cpu_milli(), step_spec.memory_mb(), step_spec.gpu()};
+        step.declared = absl::Milliseconds(std::max(step_spec.estimated_ms(), min_declared_ms));
+        step.unfinished = step_spec.count();
+        step.tasks.resize(step_spec.count());
+        for (auto& each : step.tasks)
+        {
+            each.attempt = last_attempt;
+        }
+        auto critical_path = absl::ZeroDuration();
+        for (const auto earlier : step_spec.depends_on())
+        {
+            critical_path = std::max(critical_path, critical_paths[earlier]);
+        }
+        critical_paths.push_back(critical_path + speeds.expected(it.queue.name(), step.declared));
+        it.critical_path = std::max(it.critical_path, critical_paths.back());
+        it.work += task_work(step) * step_spec.count();
+        it.steps.push_back(std::move(step));
+    }
+}
+
 std::string ms_text(absl::Duration it)
 {
     return absl::StrCat(absl::ToInt64Milliseconds(it));
@@ -337,34 +367,9 @@
     it.queue = queue;
     it.payload = request.spec().payload();
     it.arrived_at = now - absl::Milliseconds(request.age_ms());
-    std::vector<absl::Duration> critical_paths;
-    std::uint32_t first_attempt = 0;
-    if (const auto before = ended_.find(it.id); before != ended_.end())
-    {
-        first_attempt = before->second.last_attempt;
-    }
-    for (const auto& spec : request.spec().steps())
-    {
-        job_step step;
-        step.spec = spec;
-        step.demand = {spec.cpu_milli(), spec.memory_mb(), spec.gpu()};
-        step.declared = absl::Milliseconds(std::max(spec.estimated_ms(), min_declared_ms));
-        step.unfinished = spec.count();
-        step.tasks.resize(spec.count());
-        for (auto& each : step.tasks)
-        {
-            each.attempt = first_attempt;
-        }
-        auto critical_path = absl::ZeroDuration();
-        for (const auto earlier : spec.depends_on())
-        {
-            critical_path = std::max(critical_path, critical_paths[earlier]);
-        }
-        critical_paths.push_back(critical_path + speeds_.expected(queue.name(), step.declared));
-        it.critical_path = std::max(it.critical_path, critical_paths.back());
-        it.work += task_work(step) * spec.count();
-        it.steps.push_back(std::move(step));
-    }
+    const auto before = ended_.find(it.id);
+    add_steps(it, request.spec(), before != ended_.end() ? before->second.last_attempt : 0,
+              speeds_);
     const auto objective = it.critical_path * std::max(queue.slack_factor(), 1.0) +
                            absl::Milliseconds(queue.target_ms());
     it.objective_at = it.arrived_at + objective;
