--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -71,7 +71,9 @@
     double began = 0.0;
     double ended = 0.0; ///< now if it has not ended
     std::string how = "running";
-    int used_milli = 0; ///< cores in use on the worker after the start
+    int used_milli = 0; ///< cores in use on the worker after the start, of capacity_milli
+    int capacity_milli = 0;
+    std::string kind; ///< of the worker
 };
 
 class fleet
@@ -82,7 +84,8 @@
         int core = 3;
         int other_fronts = 2;
         int workers = 4;
-        int first_worker_milli = 64000;
+        /// Kind of the first worker; "b" is half as large again as the others.
+        std::string first_kind = "a";
     };
     struct process
     {
@@ -98,10 +101,11 @@
         std::string id;
         int cpu_milli = 64000;
         double answer_ms = 1.0;
+        std::string kind = "a"; ///< a label of the worker
     };
 
     fleet(shape wanted, fs::path record_folder)
-        : first_worker_milli_(wanted.first_worker_milli),
+        : first_kind_(wanted.first_kind),
           record_file_(record_folder / "record.txt"), repository_(fs::current_path())
     {
         char folder[] = "/tmp/savoryreach-review-XXXXXX";
@@ -236,7 +240,8 @@
                       "zone-" + std::to_string(n % 3),
                       std::to_string(options.cpu_milli),
                       "r" + std::to_string(n / 3),
-                      std::to_string(options.answer_ms)};
+                      std::to_string(options.answer_ms),
+                      options.kind};
         start(it.name);
     }
     /// Starts all processes and workers, sends the first desired state and waits until each front
@@ -249,8 +254,9 @@
         }
         for (int n = 0; n < workers_; ++n)
         {
-            start_worker(n, {"i-worker-" + std::to_string(n), n == 0 ? first_worker_milli_ : 64000,
-                             1.0 + 2.0 * n});
+            const std::string kind = n == 0 ? first_kind_ : "a";
+            start_worker(n, {"i-worker-" + std::to_string(n), kind == "b" ? 96000 : 64000,
+                             1.0 + 2.0 * n, kind});
         }
         const auto until = now_ms() + 25000.0;
         while (now_ms() < until)
@@ -398,6 +404,7 @@
         int estimated_ms = 900;
         int work_ms = 900;
         int deadline_ms = 1500;
+        std::string label; ///< requiredLabel
     };
     struct reply
     {
@@ -414,6 +421,10 @@
         step["cpu"] = it.cpu_milli;
         step["memMb"] = 256;
         step["estimatedMs"] = it.estimated_ms;
+        if (!it.label.empty())
+        {
+            step["requiredLabel"] = it.label;
+        }
         Json::Value body;
         body["spec"] = "work_ms=" + std::to_string(it.work_ms) +
                        " cpu=" + std::to_string(it.cpu_milli);
@@ -454,8 +465,12 @@
             if (what == "start")
             {
                 open[{worker, task}] = out.size();
-                out.push_back({task, worker, attempt, at, now_ms(), "running",
-                               detail.rfind("used=", 0) == 0 ? std::atoi(detail.c_str() + 5) : 0});
+                task_run added{task, worker, attempt, at, now_ms(), "running", 0, 0, {}};
+                char kind[16] = "";
+                std::sscanf(detail.c_str(), "used=%d,of=%d,kind=%15s", &added.used_milli,
+                            &added.capacity_milli, kind);
+                added.kind = kind;
+                out.push_back(added);
             }
             else if (what == "end")
             {
@@ -752,7 +767,7 @@
 
     static constexpr int metrics_port = 9464;
 
-    int first_worker_milli_;
+    std::string first_kind_;
     fs::path folder_;
     fs::path record_file_;
     fs::path repository_;
