--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -102,6 +102,7 @@
         int cpu_milli = 64000;
         double answer_ms = 1.0;
         std::string kind = "a"; ///< a label of the worker
+        std::string control = {}; ///< address for its reports if they take another way
     };
 
     fleet(shape wanted, fs::path record_folder)
@@ -210,6 +211,23 @@
             event(name, "killed");
         }
     }
+    /// Waits until a process has ended; false if it has not in time.
+    bool await_end(const std::string& name, double ms)
+    {
+        auto& it = processes_.at(name);
+        const auto until = now_ms() + ms;
+        while (it.pid > 0 && ::waitpid(it.pid, nullptr, WNOHANG) != it.pid)
+        {
+            if (now_ms() > until)
+            {
+                return false;
+            }
+            sleep_ms(5);
+        }
+        it.pid = -1;
+        event(name, "ended");
+        return true;
+    }
     /// Names of processes of the project that ended by themselves.
     std::vector<std::string> ended_by_themselves()
     {
@@ -235,7 +253,8 @@
                       it.name,
                       options.id,
                       it.ip + ":" + std::to_string(app_port_),
-                      it.ip + ":" + std::to_string(control_port_),
+                      options.control.empty() ? it.ip + ":" + std::to_string(control_port_)
+                                              : options.control,
                       service,
                       "zone-" + std::to_string(n % 3),
                       std::to_string(options.cpu_milli),
@@ -246,8 +265,9 @@
     }
     /// Starts all processes and workers, sends the first desired state and waits until each front
     /// is ready and each worker is known.
-    bool start_all()
+    bool start_all(const std::string& first_control = {})
     {
+        first_control_ = first_control;
         for (auto& [name, it] : processes_)
         {
             start(name, true);
@@ -256,7 +276,7 @@
         {
             const std::string kind = n == 0 ? first_kind_ : "a";
             start_worker(n, {"i-worker-" + std::to_string(n), kind == "b" ? 96000 : 64000,
-                             1.0 + 2.0 * n, kind});
+                             1.0 + 2.0 * n, kind, n == 0 ? first_control_ : ""});
         }
         const auto until = now_ms() + 25000.0;
         while (now_ms() < until)
@@ -404,7 +424,8 @@
         int estimated_ms = 900;
         int work_ms = 900;
         int deadline_ms = 1500;
-        std::string label; ///< requiredLabel
+        std::string label = {}; ///< requiredLabel
+        int steps = 1;     ///< each depends on the one before
     };
     struct reply
     {
@@ -429,7 +450,15 @@
         body["spec"] = "work_ms=" + std::to_string(it.work_ms) +
                        " cpu=" + std::to_string(it.cpu_milli);
         body["bestEffort"] = true;
-        body["steps"].append(step);
+        for (int n = 0; n < it.steps; ++n)
+        {
+            if (n > 0)
+            {
+                step["dependsOn"] = Json::arrayValue;
+                step["dependsOn"].append(n - 1);
+            }
+            body["steps"].append(step);
+        }
         return call(front, "POST", it.id, it.deadline_ms, to_line(body));
     }
     reply cancel(const std::string& front, const std::string& id, int deadline_ms = 1500)
@@ -481,7 +510,7 @@
                     open.erase(it);
                 }
             }
-            else if (what == "killed")
+            else if (what == "killed" || what == "ended")
             {
                 for (auto it = open.begin(); it != open.end();)
                 {
@@ -768,6 +797,7 @@
     static constexpr int metrics_port = 9464;
 
     std::string first_kind_;
+    std::string first_control_;
     fs::path folder_;
     fs::path record_file_;
     fs::path repository_;
--- a/review/standins-2/repeated_job.cpp
+++ b/review/standins-2/repeated_job.cpp
@@ -40,7 +40,7 @@
             [&, n]
             {
                 const fleet::job job{job_id(1000 + n + static_cast<std::uint64_t>(unix_ms())),
-                                     tasks, cpu_milli, estimated_ms, work_ms, deadline_ms, {}};
+                                     tasks, cpu_milli, estimated_ms, work_ms, deadline_ms};
                 sleep_ms(20.0 * n);
                 auto reply = it.post(first, job);
                 // After no response, a broken channel, 502 or 504 the job is sent again.
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -6,6 +6,9 @@
 //
 // Each answer takes ANSWER_MS, as zones and loads differ.
 //
+// On SIGTERM it drains: it reports `draining`, goes on for DRAIN_MS after the ack, says that it leaves
+// and ends, some time later if nobody acknowledges that.
+//
 // A task whose spec is "work_ms=N" works for N milliseconds.
 
 #include "clock.hpp"
@@ -32,6 +35,10 @@
 constexpr std::int64_t longest_lease_ms = 1000;
 constexpr std::size_t max_listed_ends = 500;
 constexpr std::int64_t heartbeat_ms = 1500;
+constexpr int drain_ms = 2200;          // drainMs and a little longer
+constexpr int unacknowledged_end_ms = 1000;
+
+std::atomic<bool> draining = false;
 
 struct run
 {
@@ -314,7 +321,7 @@
                 beat["zone"] = zone_;
                 beat["version"] = "v1";
                 beat["slots"] = 8;
-                beat["state"] = "ready";
+                beat["state"] = draining ? "draining" : "ready";
                 beat["coldRemainingMs"] = 0;
                 beat["seq"] = Json::UInt64(++sequence_);
                 beat["clockMs"] = Json::Int64(clock_ms());
@@ -334,9 +341,38 @@
             {
                 write(acknowledged ? "heartbeat_acknowledged" : "heartbeat_failed", id_, 0);
             }
-            std::this_thread::sleep_for(
-                std::chrono::milliseconds(acknowledged ? heartbeat_ms : heartbeat_ms / 5));
+            if (acknowledged && beat["state"] == "draining")
+            {
+                leave(ip, std::atoi(control_.c_str() + colon + 1));
+            }
+            const auto next = review::now_ms() + (acknowledged ? heartbeat_ms : heartbeat_ms / 5);
+            while (review::now_ms() < next && !draining)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+        }
+    }
+
+    [[noreturn]] void leave(const std::string& ip, int port)
+    {
+        write("draining_acknowledged", id_, 0);
+        std::this_thread::sleep_for(std::chrono::milliseconds(drain_ms));
+        httplib::Client agent(ip, port);
+        agent.set_connection_timeout(1, 0);
+        agent.set_read_timeout(0, unacknowledged_end_ms * 1000);
+        Json::Value body;
+        body["born"] = Json::Int64(born_unix_ms_);
+        write("deregister_sent", id_, 0);
+        const auto reply = agent.Post("/savoryreach/instances/" + id_ + "/deregister",
+                                      to_line(body), "application/json");
+        const std::lock_guard guard(mutex_);
+        const auto runs = runs_;
+        for (const auto& [task, it] : runs)
+        {
+            finish(task, "stopped");
         }
+        write(reply ? "left_acknowledged" : "left_unacknowledged", id_, 0);
+        std::_Exit(0);
     }
 
     int log_;
@@ -373,5 +409,6 @@
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) { draining = true; });
     return worker(argv).serve();
 }
