--- a/review/standins-2/cancel_in_election.cpp
+++ b/review/standins-2/cancel_in_election.cpp
@@ -37,7 +37,7 @@
     std::vector<fleet::job> all;
     for (int n = 0; n < jobs; ++n)
     {
-        all.push_back({job_id(5000 + n + static_cast<std::uint64_t>(unix_ms())), 2, 6200, 900, 900,
+        all.push_back({new_job_id(), 2, 6200, 900, 900,
                        8000, {}, steps});
     }
     std::vector<std::thread> clients;
--- a/review/standins-2/cancelled_job.cpp
+++ b/review/standins-2/cancelled_job.cpp
@@ -31,7 +31,7 @@
     std::vector<fleet::job> all;
     for (int n = 0; n < jobs; ++n)
     {
-        all.push_back({job_id(2000 + n + static_cast<std::uint64_t>(unix_ms())), 4, 6200, 900,
+        all.push_back({new_job_id(), 4, 6200, 900,
                        1200, 1500});
     }
     std::vector<std::thread> clients;
--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -84,6 +84,7 @@
         int core = 3;
         int other_fronts = 2;
         int workers = 4;
+        int tolerated = 1; ///< core members that may be lost at once
         /// Kind of the first worker; "b" is half as large again as the others.
         std::string first_kind = "a";
     };
@@ -106,7 +107,7 @@
     };
 
     fleet(shape wanted, fs::path record_folder)
-        : first_kind_(wanted.first_kind),
+        : first_kind_(wanted.first_kind), tolerated_(wanted.tolerated),
           record_file_(record_folder / "record.txt"), repository_(fs::current_path())
     {
         char folder[] = "/tmp/savoryreach-review-XXXXXX";
@@ -276,7 +277,7 @@
         {
             const std::string kind = n == 0 ? first_kind_ : "a";
             start_worker(n, {"i-worker-" + std::to_string(n), kind == "b" ? 96000 : 64000,
-                             1.0 + 2.0 * n, kind, n == 0 ? first_control_ : ""});
+                             1.0 + 6.0 * n, kind, n == 0 ? first_control_ : ""});
         }
         const auto until = now_ms() + 25000.0;
         while (now_ms() < until)
@@ -461,6 +462,17 @@
         }
         return call(front, "POST", it.id, it.deadline_ms, to_line(body));
     }
+    /// A channel to a front, for a client that keeps it open.
+    int connect_client(const std::string& front)
+    {
+        const int out = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(client_port_));
+        ::inet_pton(AF_INET, ip_of(front).c_str(), &address.sin_addr);
+        ::connect(out, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        return out;
+    }
     reply cancel(const std::string& front, const std::string& id, int deadline_ms = 1500)
     {
         return call(front, "DELETE", id, deadline_ms, {});
@@ -695,7 +707,7 @@
         it["discovery"] = "local";
         it["entry"] = "vip";
         it["heartbeatMs"] = 1500;
-        it["faultTolerance"]["machines"] = 1;
+        it["faultTolerance"]["machines"] = tolerated_;
         it["faultTolerance"]["zones"] = 0;
         it["faultTolerance"]["regions"] = 0;
         it["bounds"] = bounds();
@@ -798,6 +810,7 @@
 
     std::string first_kind_;
     std::string first_control_;
+    int tolerated_;
     fs::path folder_;
     fs::path record_file_;
     fs::path repository_;
@@ -817,10 +830,13 @@
     std::vector<std::pair<double, std::string>> notes_;
 };
 
-/// A job id; the words of the pages: 16 hexadecimal digits.
-inline std::string job_id(std::uint64_t seed)
+/// An id that no other job has; the words of the pages: 16 hexadecimal digits.
+inline std::string new_job_id()
 {
-    std::mt19937_64 random(seed);
+    static std::mutex mutex;
+    static std::mt19937_64 random{(std::uint64_t{std::random_device()()} << 32) |
+                                  std::random_device()()};
+    const std::lock_guard guard(mutex);
     char out[17];
     std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(random()));
     return out;
--- a/review/standins-2/late_leave.cpp
+++ b/review/standins-2/late_leave.cpp
@@ -43,7 +43,7 @@
     std::vector<std::thread> clients;
     for (int n = 0; n < jobs; ++n)
     {
-        const fleet::job job{job_id(4000 + n + static_cast<std::uint64_t>(unix_ms())),
+        const fleet::job job{new_job_id(),
                              2, 6200, 900, 900, 1500};
         clients.emplace_back([&it, job, n] { it.post(it.fronts()[n % 5], job); });
     }
--- a/review/standins-2/repeated_job.cpp
+++ b/review/standins-2/repeated_job.cpp
@@ -39,7 +39,7 @@
         clients.emplace_back(
             [&, n]
             {
-                const fleet::job job{job_id(1000 + n + static_cast<std::uint64_t>(unix_ms())),
+                const fleet::job job{new_job_id(),
                                      tasks, cpu_milli, estimated_ms, work_ms, deadline_ms};
                 sleep_ms(20.0 * n);
                 auto reply = it.post(first, job);
