--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -26,6 +26,7 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -161,6 +162,7 @@
         const auto pid = ::fork();
         if (pid == 0)
         {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the script, however that ends
             const auto log = (folder_ / (name + ".log")).string();
             std::freopen(log.c_str(), "a", stdout);
             std::freopen(log.c_str(), "a", stderr);
--- a/review/standins-2/late_leave.cpp
+++ b/review/standins-2/late_leave.cpp
@@ -17,7 +17,7 @@
 
 int main(int, char** argv)
 {
-    fleet it({.core = 3, .other_fronts = 2, .workers = 4}, argv[1]);
+    fleet it({.core = 3, .other_fronts = 2, .workers = 7}, argv[1]);
     const auto ip = it.worker_ip(0);
     delaying_proxy link(ip, it.control_port() + 50, ip, it.control_port());
     const auto control = ip + ":" + std::to_string(it.control_port() + 50);
--- a/review/standins-2/restarted_worker.cpp
+++ b/review/standins-2/restarted_worker.cpp
@@ -19,7 +19,7 @@
 
 int main(int, char** argv)
 {
-    fleet it({.core = 3, .other_fronts = 2, .workers = 4, .first_kind = "b"}, argv[1]);
+    fleet it({.core = 3, .other_fronts = 2, .workers = 7, .first_kind = "b"}, argv[1]);
     if (!it.start_all())
     {
         return it.conclude(could_not_run, "the deployment did not become ready");
