--- a/review/standins-2/cancel_in_election.cpp
+++ b/review/standins-2/cancel_in_election.cpp
@@ -10,9 +10,9 @@
 constexpr int jobs = 6;
 constexpr int steps = 6; // of 900 ms each
 constexpr double kill_after_ms = 300.0;
-constexpr double cancel_after_ms = 200.0; // after the kill
+constexpr double cancel_after_ms = 200.0;  // after the kill
 constexpr double restart_after_ms = 800.0; // after the kill
-constexpr double cancel_ms = 3000.0;      // bound of the rule
+constexpr double cancel_ms = 3000.0;       // bound of the rule
 
 } // namespace
 
@@ -35,12 +35,13 @@
         }
     }
     std::vector<fleet::job> all;
+    all.reserve(jobs);
     for (int n = 0; n < jobs; ++n)
     {
-        all.push_back({new_job_id(), 2, 6200, 900, 900,
-                       8000, {}, steps});
+        all.push_back({new_job_id(), 2, 6200, 900, 900, 8000, {}, steps});
     }
     std::vector<std::thread> clients;
+    clients.reserve(std::size_t{2} * jobs);
     for (const auto& job : all)
     {
         clients.emplace_back([&it, &first, job] { it.post(first, job); });
--- a/review/standins-2/cancelled_job.cpp
+++ b/review/standins-2/cancelled_job.cpp
@@ -29,12 +29,13 @@
     const auto leader = it.leader();
     it.note("the dispatcher is " + leader);
     std::vector<fleet::job> all;
+    all.reserve(jobs);
     for (int n = 0; n < jobs; ++n)
     {
-        all.push_back({new_job_id(), 4, 6200, 900,
-                       1200, 1500});
+        all.push_back({new_job_id(), 4, 6200, 900, 1200, 1500});
     }
     std::vector<std::thread> clients;
+    clients.reserve(std::size_t{2} * jobs);
     for (const auto& job : all)
     {
         clients.emplace_back([&it, &first, job] { it.post(first, job); });
--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -103,7 +103,7 @@
         std::string id;
         int cpu_milli = 64000;
         double answer_ms = 1.0;
-        std::string kind = "a"; ///< a label of the worker
+        std::string kind = "a";   ///< a label of the worker
         std::string control = {}; ///< address for its reports if they take another way
     };
 
@@ -293,7 +293,8 @@
         while (now_ms() < until)
         {
             const bool ready = std::ranges::all_of(
-                fronts_, [this](const auto& it) { return get(ip_of(it), ready_port_, "/savoryreach/readyz") == 200; });
+                fronts_, [this](const auto& it)
+                { return get(ip_of(it), ready_port_, "/savoryreach/readyz") == 200; });
             if (ready && all_workers_usable())
             {
                 sleep_ms(2000); // the heartbeats of all workers have passed twice
@@ -428,7 +429,7 @@
         int work_ms = 900;
         int deadline_ms = 1500;
         std::string label = {}; ///< requiredLabel
-        int steps = 1;     ///< each depends on the one before
+        int steps = 1;          ///< each depends on the one before
     };
     struct reply
     {
@@ -450,8 +451,8 @@
             step["requiredLabel"] = it.label;
         }
         Json::Value body;
-        body["spec"] = "work_ms=" + std::to_string(it.work_ms) +
-                       " cpu=" + std::to_string(it.cpu_milli);
+        body["spec"] =
+            "work_ms=" + std::to_string(it.work_ms) + " cpu=" + std::to_string(it.cpu_milli);
         body["bestEffort"] = true;
         for (int n = 0; n < it.steps; ++n)
         {
@@ -781,8 +782,8 @@
         add(name, ip, it, "agent");
         ++workers_;
     }
-    reply call(const std::string& front, const char* method, const std::string& id,
-               int deadline_ms, const std::string& body)
+    reply call(const std::string& front, const char* method, const std::string& id, int deadline_ms,
+               const std::string& body)
     {
         httplib::Client client(ip_of(front), client_port_);
         client.set_connection_timeout(1, 0);
--- a/review/standins-2/late_leave.cpp
+++ b/review/standins-2/late_leave.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr int jobs = 16;
-constexpr double cut_ms = 2500.0;       // from just before the worker says that it leaves
-constexpr double arrival_ms = 1200.0;   // after the cut: the interval of TCP's retransmissions
+constexpr double cut_ms = 2500.0;        // from just before the worker says that it leaves
+constexpr double arrival_ms = 1200.0;    // after the cut: the interval of TCP's retransmissions
 constexpr double jobs_before_ms = 400.0; // before that
 
 } // namespace
@@ -43,8 +43,7 @@
     std::vector<std::thread> clients;
     for (int n = 0; n < jobs; ++n)
     {
-        const fleet::job job{new_job_id(),
-                             2, 6200, 900, 900, 1500};
+        const fleet::job job{new_job_id(), 2, 6200, 900, 900, 1500};
         clients.emplace_back([&it, job, n] { it.post(it.fronts()[n % 5], job); });
     }
     for (auto& client : clients)
--- a/review/standins-2/late_request.cpp
+++ b/review/standins-2/late_request.cpp
@@ -58,7 +58,8 @@
     step["memMb"] = 256;
     step["estimatedMs"] = job.estimated_ms;
     Json::Value body;
-    body["spec"] = "work_ms=" + std::to_string(job.work_ms) + " cpu=" + std::to_string(job.cpu_milli);
+    body["spec"] =
+        "work_ms=" + std::to_string(job.work_ms) + " cpu=" + std::to_string(job.cpu_milli);
     body["bestEffort"] = true;
     body["steps"].append(step);
     const auto text = to_line(body);
@@ -83,8 +84,8 @@
     {
         // An open channel that has served a request.
         open.push_back(it.connect_client(front));
-        const std::string look = std::string("GET ") + fleet::prefix +
-                                 " HTTP/1.1\r\nHost: " + fleet::host + "\r\n\r\n";
+        const std::string look =
+            std::string("GET ") + fleet::prefix + " HTTP/1.1\r\nHost: " + fleet::host + "\r\n\r\n";
         std::string answer;
         if (::send(open.back(), look.data(), look.size(), MSG_NOSIGNAL) < 0 ||
             !read_response(open.back(), answer))
@@ -99,14 +100,14 @@
     }
     std::vector<attempt> attempts(channels);
     std::vector<std::thread> clients;
+    clients.reserve(channels);
     for (int n = 0; n < channels; ++n)
     {
         clients.emplace_back(
             [&, n]
             {
                 auto& own = attempts[static_cast<std::size_t>(n)];
-                own.job = {new_job_id(), 1, 6200, 900,
-                           work_ms, deadline_ms};
+                own.job = {new_job_id(), 1, 6200, 900, work_ms, deadline_ms};
                 const auto text = post_text(own.job);
                 sleep_ms(term_at + first_send_ms + n * send_interval_ms - now_ms());
                 own.sent = now_ms();
@@ -138,8 +139,8 @@
         const auto after_term = own.sent - term_at;
         it.note("job " + own.job.id + " sent " + std::to_string(static_cast<int>(after_term)) +
                 " ms after the SIGTERM, channel ended or answered after " +
-                std::to_string(static_cast<int>(own.ended - own.sent)) + " ms: " +
-                (own.complete ? own.head : "no complete answer") +
+                std::to_string(static_cast<int>(own.ended - own.sent)) +
+                " ms: " + (own.complete ? own.head : "no complete answer") +
                 (passed_on ? ", passed on to a worker" : ", not passed on"));
         const bool in_time = own.ended < own.sent + deadline_ms;
         if (!own.complete && passed_on && in_time && after_term > excused_ms)
--- a/review/standins-2/repeated_job.cpp
+++ b/review/standins-2/repeated_job.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr int rounds = 6; // the election takes 0.5 to 0.9 s, so that the clients aren't always first
+constexpr int rounds =
+    6; // the election takes 0.5 to 0.9 s, so that the clients aren't always first
 constexpr double round_interval_ms = 13000.0; // more than recoveryS
 constexpr int jobs = 6;
 // Jobs like `fitting`: 4 tasks of 6.2 cores, 900 ms on the mean and 3,600 ms at most.
@@ -38,6 +39,7 @@
     {
         const auto began = now_ms();
         std::vector<std::thread> clients;
+        clients.reserve(jobs);
         for (int n = 0; n < jobs; ++n)
         {
             clients.emplace_back(
@@ -86,5 +88,6 @@
     }
     return it.conclude(twice.empty() ? rule_held : rule_broken,
                        std::to_string(repeated) + " jobs sent again; " +
-                           std::to_string(twice.size()) + " pairs of runs of a task at the same time");
+                           std::to_string(twice.size()) +
+                           " pairs of runs of a task at the same time");
 }
--- a/review/standins-2/restarted_worker.cpp
+++ b/review/standins-2/restarted_worker.cpp
@@ -33,8 +33,7 @@
     sleep_ms(jobs_after_ms);
     for (int n = 0; n < labelled_jobs + other_jobs; ++n)
     {
-        fleet::job job{new_job_id(),
-                       4, 6200, 900, 900, 1500, n < labelled_jobs ? "b" : ""};
+        fleet::job job{new_job_id(), 4, 6200, 900, 900, 1500, n < labelled_jobs ? "b" : ""};
         if (!job.label.empty())
         {
             labelled.insert(job.id);
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -6,8 +6,8 @@
 //
 // Each answer takes ANSWER_MS, as zones and loads differ.
 //
-// On SIGTERM it drains: it reports `draining`, goes on for DRAIN_MS after the ack, says that it leaves
-// and ends, some time later if nobody acknowledges that.
+// On SIGTERM it drains: it reports `draining`, goes on for DRAIN_MS after the ack, says that it
+// leaves and ends, some time later if nobody acknowledges that.
 //
 // A task whose spec is "work_ms=N" works for N milliseconds.
 
@@ -21,6 +21,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <fcntl.h>
 #include <map>
 #include <mutex>
@@ -35,8 +36,8 @@
 constexpr std::int64_t longest_lease_ms = 1000;
 constexpr std::size_t max_listed_ends = 500;
 constexpr std::int64_t heartbeat_ms = 1500;
-constexpr int drain_ms = 2200;          // drainMs and a little longer
-constexpr int unacknowledged_end_ms = 1000;
+constexpr int drain_ms = 2200; // drainMs and a little longer
+constexpr std::time_t unacknowledged_end_us = 999'000;
 
 std::atomic<bool> draining = false;
 
@@ -77,7 +78,8 @@
         : log_(::open(arguments[1], O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644)),
           name_(arguments[2]), id_(arguments[3]), address_(arguments[4]), control_(arguments[5]),
           service_(arguments[6]), zone_(arguments[7]), cpu_milli_(std::atoi(arguments[8])),
-          rack_(arguments[9]), answer_ms_(std::atof(arguments[10])), kind_(arguments[11]), born_unix_ms_(review::unix_ms()), began_(review::now_ms())
+          rack_(arguments[9]), answer_ms_(std::atof(arguments[10])), kind_(arguments[11]),
+          born_unix_ms_(review::unix_ms()), began_(review::now_ms())
     {
     }
 
@@ -85,25 +87,32 @@
     {
         server_.set_keep_alive_max_count(1'000'000);
         server_.set_tcp_nodelay(true);
-        server_.new_task_queue = [] { return new httplib::ThreadPool(24); };
-        server_.Post("/savoryreach/run-start", [this](const auto& in, auto& out)
+        server_.new_task_queue = []
+        {
+            return new httplib::ThreadPool(24);
+        };
+        server_.Post("/savoryreach/run-start",
+                     [this](const auto& in, auto& out)
                      {
                          start(in, out);
                          travel();
                      });
-        server_.Post("/savoryreach/run-stop", [this](const auto& in, auto& out)
+        server_.Post("/savoryreach/run-stop",
+                     [this](const auto& in, auto& out)
                      {
                          stop(in, out);
                          travel();
                      });
-        server_.Post("/savoryreach/hold", [this](const auto& in, auto& out)
+        server_.Post("/savoryreach/hold",
+                     [this](const auto& in, auto& out)
                      {
                          hold(in, out);
                          travel();
                      });
         server_.Get("/healthz", [](const auto&, auto& out) { out.status = 200; });
         const auto colon = address_.find(':');
-        if (!server_.bind_to_port(address_.substr(0, colon), std::atoi(address_.c_str() + colon + 1)))
+        if (!server_.bind_to_port(address_.substr(0, colon),
+                                  std::atoi(address_.c_str() + colon + 1)))
         {
             return 2;
         }
@@ -216,7 +225,8 @@
             used += it.cpu_milli;
         }
         write("start", task, attempt,
-              "used=" + std::to_string(used) + ",of=" + std::to_string(cpu_milli_) + ",kind=" + kind_);
+              "used=" + std::to_string(used) + ",of=" + std::to_string(cpu_milli_) +
+                  ",kind=" + kind_);
         answer(out, 200);
     }
     void stop(const httplib::Request& in, httplib::Response& out)
@@ -240,7 +250,8 @@
     {
         const auto body = to_json(in.body);
         const auto until =
-            review::now_ms() + static_cast<double>(std::min<std::int64_t>(body["waitMs"].asInt64(), 2000));
+            review::now_ms() +
+            static_cast<double>(std::min<std::int64_t>(body["waitMs"].asInt64(), 2000));
         std::unique_lock guard(mutex_);
         if (!admit(in, body, out))
         {
@@ -250,8 +261,8 @@
         {
             extend(body["expiresMs"].asInt64());
         }
-        std::erase_if(ends_, [&](const auto& it)
-                      { return it.number <= body["ackCursor"].asUInt64(); });
+        std::erase_if(ends_,
+                      [&](const auto& it) { return it.number <= body["ackCursor"].asUInt64(); });
         while (ends_.empty() && review::now_ms() < until)
         {
             guard.unlock();
@@ -359,7 +370,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(drain_ms));
         httplib::Client agent(ip, port);
         agent.set_connection_timeout(1, 0);
-        agent.set_read_timeout(0, unacknowledged_end_ms * 1000);
+        agent.set_read_timeout(0, unacknowledged_end_us);
         Json::Value body;
         body["born"] = Json::Int64(born_unix_ms_);
         write("deregister_sent", id_, 0);
