--- a/review/standins-2/cancel_in_election.cpp
+++ b/review/standins-2/cancel_in_election.cpp
@@ -38,7 +38,7 @@
     all.reserve(jobs);
     for (int n = 0; n < jobs; ++n)
     {
-        all.push_back({new_job_id(), 2, 6200, 900, 900, 8000, {}, steps});
+        all.push_back({new_job_id(), 2, 6200, 900, 900, 8000, steps});
     }
     std::vector<std::thread> clients;
     clients.reserve(std::size_t{2} * jobs);
