--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,5 +1,5 @@
-// A worker leaves as planned, and the channel of its deregistration is reset before the
-// acknowledgement arrives: it ends some seconds later. TWICE: its tasks run elsewhere meanwhile.
+// A host that takes requests is killed, and a second later the dispatcher's process. Clients whose
+// channel broke send their jobs again. TWICE: a task runs on two workers at the same time.
 
 #include "../stand-ins-3/fleet.hpp"
 
@@ -8,11 +8,30 @@
 
 using namespace review;
 
-constexpr int task_count = 4;
+constexpr int core_size = 3;
+/// The host that is killed and the one that its clients turn to, both without a disk.
+constexpr int killed_front = 3;
+constexpr int other_front = 4;
+constexpr int side_count = 6;
+constexpr int job_count = 9;
 constexpr std::int64_t run_ms = 3600;
-constexpr std::int64_t deadline_ms = 15'000;
-/// Time from a deregistration without an acknowledgement to the end of the worker.
-constexpr std::int64_t unacknowledged_end_ms = 3000;
+constexpr std::int64_t deadline_ms = 12'000;
+/// From the first kill to the second one, and from each to the restart.
+constexpr std::int64_t between_kills_ms = 1000;
+constexpr std::int64_t down_ms = 500;
+
+const std::vector<job_step> steps{{1, 4000, run_ms, {}}};
+
+/// A client: hands its job in and, after a broken channel, hands it in once more at another host.
+void serve_client(fleet& all, const std::string& id)
+{
+    const int status = all.post_job(all.front(killed_front), id, steps, deadline_ms);
+    if (status == 0 || status == 502 || status == 504)
+    {
+        sleep_ms(retry_delay_ms);
+        all.post_job(all.front(other_front), id, steps, deadline_ms);
+    }
+}
 
 } // namespace
 
@@ -21,50 +40,68 @@
     record out(argc > 1 ? argv[1] : "record.txt");
     run_log runs(out);
     out.line(std::string("TROUBLE=") + (has_trouble() ? "1" : "0"));
-    fleet all(out, 3, 1, 2);
-    worker::options options;
-    options.run_ms = run_ms;
-    options.id = "i-1";
-    options.ip = all.ip_of(first_side);
-    worker leaving(options, out, runs);
-    options.id = "i-2";
-    options.ip = all.ip_of(first_side + 1);
-    worker staying(options, out, runs);
+    fleet all(out, core_size, 2, side_count);
+    std::vector<std::unique_ptr<worker>> workers;
+    for (int n = 0; n < side_count; ++n)
+    {
+        worker::options it;
+        it.id = "i-" + std::to_string(n + 1);
+        it.ip = all.ip_of(first_side + n);
+        it.cpu = 16'000;
+        it.run_ms = run_ms;
+        workers.push_back(std::make_unique<worker>(it, out, runs));
+    }
     all.start();
-    if (!leaving.listen() || !staying.listen() || !all.wait_ready() || !all.configure(1))
+    if (!std::ranges::all_of(workers, [](auto& it) { return it->listen(); }) || !all.wait_ready() ||
+        !all.configure(1))
     {
         return not_run;
     }
-    leaving.begin_life();
-    sleep_ms(contact_ms + 500);
-    std::thread client(
-        [&all] {
-            all.post_job(all.front(3), job_id(1), {{task_count, 6200, run_ms, {}}}, deadline_ms);
-        });
-    const bool runs_here =
-        fleet::wait(3000, [&leaving] { return leaving.run_count() == task_count; });
-    staying.begin_life();
-    sleep_ms(300);
-    const bool drains = leaving.drain();
-    sleep_ms(drain_ms + 100);
-    const bool at_work = leaving.run_count() > 0;
-    const auto left_at = out.now_ms();
-    if (leaving.deregister(0, has_trouble()) == 0)
+    for (auto& it : workers)
     {
-        sleep_ms(left_at + unacknowledged_end_ms - out.now_ms());
+        it->begin_life();
     }
-    leaving.end_life();
-    client.join();
-    if (!runs_here || !drains || !at_work)
+    sleep_ms(contact_ms + 1000);
+    auto* leader = all.leader();
+    if (leader == nullptr)
     {
         return not_run;
     }
-    // With an acknowledgement the worker ends within a round trip.
-    const auto doubles = find_double_runs(runs.all(), out.now_ms(), stop_timeout_ms);
+    std::vector<std::thread> clients;
+    clients.reserve(job_count);
+    for (int n = 0; n < job_count; ++n)
+    {
+        clients.emplace_back([&all, id = job_id(n)] { serve_client(all, id); });
+        sleep_ms(20);
+    }
+    sleep_ms(200);
+    const auto begun = runs.all().size();
+    if (has_trouble())
+    {
+        auto& front = all.front(killed_front);
+        front.signal(SIGKILL, "SIGKILL    ");
+        front.kill();
+        sleep_ms(down_ms);
+        front.start(false);
+        sleep_ms(between_kills_ms - down_ms);
+        leader->signal(SIGKILL, "SIGKILL    ");
+        leader->kill();
+        sleep_ms(down_ms);
+        leader->start(false);
+    }
+    for (auto& it : clients)
+    {
+        it.join();
+    }
+    const auto doubles = find_double_runs(runs.all(), out.now_ms(), 1);
     for (const auto& it : doubles)
     {
         out.line("TWICE       " + it);
     }
+    if (begun + 2 < job_count)
+    {
+        return not_run;
+    }
     out.line(doubles.empty() ? "the rule held" : "the rule was broken");
     return doubles.empty() ? held : broken;
 }
