--- a/review/stand-ins-3/fleet.hpp
+++ b/review/stand-ins-3/fleet.hpp
@@ -120,7 +120,6 @@
     std::string task;
     std::uint32_t attempt = 0;
     std::string worker;
-    std::string kind; ///< label of the worker
     std::int64_t began_ms = 0;
     std::int64_t ended_ms = -1; ///< -1 while it runs
     std::string how;
@@ -132,11 +131,10 @@
 public:
     explicit run_log(record& to) : record_(to) {}
 
-    std::size_t began(const std::string& task, std::uint32_t attempt, const std::string& worker,
-                      const std::string& kind)
+    std::size_t began(const std::string& task, std::uint32_t attempt, const std::string& worker)
     {
         const std::lock_guard guard(mutex_);
-        runs_.push_back({task, attempt, worker, kind, record_.now_ms(), -1, ""});
+        runs_.push_back({task, attempt, worker, record_.now_ms(), -1, ""});
         record_.line("run begins  " + task + " attempt " + std::to_string(attempt) + " on " +
                      worker);
         return runs_.size() - 1;
@@ -402,7 +400,6 @@
         std::int64_t run_ms = 900; ///< time of each task
         std::int64_t heartbeat_ms = 1500;
         std::string service = "service-a";
-        std::string kind = "a"; ///< label of the next lifetime
     };
 
     worker(options it, record& to, run_log& runs)
@@ -458,17 +455,9 @@
         draining_ = false;
         born_ = clock::now();
         born_ms_ = unix_ms();
-        kind_ = options_.kind;
         up_ = true;
         beat_at_ = clock::now();
-        record_.line("worker      " + options_.id + " begins, born " + std::to_string(born_ms_) +
-                     ", kind " + kind_);
-    }
-    /// The label of the lifetimes that begin from now on.
-    void set_kind(const std::string& kind)
-    {
-        const std::lock_guard guard(mutex_);
-        options_.kind = kind;
+        record_.line("worker      " + options_.id + " begins, born " + std::to_string(born_ms_));
     }
     /// Ends the lifetime: everything that runs ends with it.
     void end_life()
@@ -656,7 +645,7 @@
         }
         const auto now = clock::now();
         runs_here_[task] = {attempt, now, now + milliseconds(options_.run_ms),
-                            runs_.began(task, attempt, options_.id, kind_)};
+                            runs_.began(task, attempt, options_.id)};
         answer(out, 200);
     }
     void stop_run(const httplib::Request& in, httplib::Response& out)
@@ -788,7 +777,7 @@
                 beat["capacity"]["cpu"] = Json::Int64(options_.cpu);
                 beat["capacity"]["memMb"] = 262144;
                 beat["capacity"]["gpu"] = 0;
-                beat["labels"].append(kind_);
+                beat["labels"].append("a");
                 beat["labels"].append("r1-1");
             }
             if (!agent || agent_born != beat["born"].asInt64())
@@ -823,7 +812,6 @@
     bool draining_acknowledged_ = false;
     clock::time_point born_ = clock::now();
     std::int64_t born_ms_ = 0;
-    std::string kind_;
     clock::time_point beat_at_ = clock::now();
     std::uint64_t sequence_ = 0;
     std::uint64_t token_ = 0;
@@ -845,7 +833,6 @@
     std::int64_t cpu = 6200;
     std::int64_t estimated_ms = 900;
     std::vector<int> depends_on;
-    std::string required_label;
 };
 
 /// The deployment: core hosts, further hosts for clients, side machines.
@@ -985,10 +972,6 @@
             step["cpu"] = Json::Int64(it.cpu);
             step["memMb"] = 64;
             step["estimatedMs"] = Json::Int64(it.estimated_ms);
-            if (!it.required_label.empty())
-            {
-                step["requiredLabel"] = it.required_label;
-            }
             for (const int n : it.depends_on)
             {
                 step["dependsOn"].append(n);
